--- /dev/null
+++ b/core/error.go
@@ -0,0 +1,100 @@
+package core
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Code names the reason of a refusal. Codes are part of the API and stable.
+type Code string
+
+// The codes of refusals and failures.
+const (
+	CodeBadRequest       Code = "bad-request"
+	CodeUnauthorized     Code = "unauthorized"
+	CodeForbidden        Code = "forbidden"
+	CodeTooLarge         Code = "too-large"
+	CodeUnknownService   Code = "unknown-service"
+	CodeNoLoan           Code = "no-loan"
+	CodeLoanEnding       Code = "loan-ending"
+	CodeLoanLimit        Code = "loan-limit"
+	CodeFull             Code = "full"
+	CodeQueueWait        Code = "queue-wait"
+	CodeDraining         Code = "draining"
+	CodeNotReady         Code = "not-ready"
+	CodeDeadline         Code = "deadline"
+	CodeNoTarget         Code = "no-target"
+	CodeTargetDown       Code = "target-down"
+	CodeTargetLost       Code = "target-lost"
+	CodeAnswerCut        Code = "answer-cut"
+	CodeAnswerDropped    Code = "answer-dropped"
+	CodeOldIncarnation   Code = "old-incarnation"
+	CodeStaleRevision    Code = "stale-revision"
+	CodeSettledNotRun    Code = "settled-not-run"
+	CodeDuplicate        Code = "duplicate-dispatch"
+	CodeKeyConflict      Code = "key-conflict"
+	CodeKeyMoved         Code = "key-moved"
+	CodeKeyHomeGone      Code = "key-home-gone"
+	CodeKeyHomeRestarted Code = "key-home-restarted"
+	CodePoison           Code = "poison"
+	CodeConflict         Code = "conflict"
+	CodeUnsettled        Code = "unsettled"
+	CodePlatformDown     Code = "platform-down"
+	CodeUnknownStep      Code = "unknown-step"
+	CodeRetryBudget      Code = "retry-budget"
+)
+
+// Error is a failure that crosses a process border. It always carries a
+// verdict; RetryAfter, if positive, says when to come back.
+type Error struct {
+	Verdict    Verdict
+	Code       Code
+	Text       string
+	RetryAfter time.Duration
+	// Revision is set with CodeStaleRevision: the revision of the refuser.
+	Revision uint64
+}
+
+// Error gives the code, the text and the verdict.
+func (er *Error) Error() string {
+	return fmt.Sprintf("%s: %s (%s)", er.Code, er.Text, er.Verdict)
+}
+
+// WithVerdict returns a copy with the verdict replaced.
+func (er *Error) WithVerdict(ve Verdict) *Error {
+	cp := *er
+	cp.Verdict = ve
+	return &cp
+}
+
+// WithRetryAfter returns a copy that says when to come back.
+func (er *Error) WithRetryAfter(after time.Duration) *Error {
+	cp := *er
+	cp.RetryAfter = after
+	return &cp
+}
+
+// Refuse makes an error with the verdict NotRun.
+func Refuse(code Code, format string, args ...any) *Error {
+	return &Error{Verdict: NotRun, Code: code, Text: fmt.Sprintf(format, args...)}
+}
+
+// Doubt makes an error with the verdict MayHaveRun.
+func Doubt(code Code, format string, args ...any) *Error {
+	return &Error{Verdict: MayHaveRun, Code: code, Text: fmt.Sprintf(format, args...)}
+}
+
+// AsError finds the *Error in a chain. An error without one becomes a
+// MayHaveRun: what is not known to have stayed undone may have been done.
+func AsError(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var er *Error
+	if errors.As(err, &er) {
+		return er
+	}
+	return Doubt(CodeTargetLost, "%v", err)
+}
--- /dev/null
+++ b/core/loop.go
@@ -0,0 +1,61 @@
+package core
+
+// Loop runs functions one after the other on one goroutine, which owns the
+// control state that they touch. Traffic goroutines call Do or Post.
+type Loop struct {
+	calls chan func()
+	done  chan struct{}
+}
+
+// loopDepth is the number of posted functions that may wait.
+const loopDepth = 1024
+
+// NewLoop makes a loop; Run must be called to serve it.
+func NewLoop() *Loop {
+	return &Loop{calls: make(chan func(), loopDepth), done: make(chan struct{})}
+}
+
+// Run serves calls until the stop channel closes.
+func (lo *Loop) Run(stop <-chan struct{}) {
+	defer close(lo.done)
+	for {
+		select {
+		case call := <-lo.calls:
+			call()
+		case <-stop:
+			return
+		}
+	}
+}
+
+// Do runs a function on the loop and waits for it. It returns false if the
+// loop has ended and the function did not run.
+func (lo *Loop) Do(call func()) bool {
+	ended := make(chan struct{})
+	wrapped := func() {
+		call()
+		close(ended)
+	}
+	select {
+	case lo.calls <- wrapped:
+	case <-lo.done:
+		return false
+	}
+	select {
+	case <-ended:
+		return true
+	case <-lo.done:
+		return false
+	}
+}
+
+// Post runs a function on the loop without waiting for it.
+func (lo *Loop) Post(call func()) {
+	select {
+	case lo.calls <- call:
+	case <-lo.done:
+	}
+}
+
+// Done closes when the loop has ended.
+func (lo *Loop) Done() <-chan struct{} { return lo.done }
--- /dev/null
+++ b/core/words.go
@@ -0,0 +1,114 @@
+package core
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+// Priority orders requests under load. The lender sets the highest one that a
+// loan may use.
+type Priority string
+
+// The priorities, highest first.
+const (
+	High   Priority = "high"
+	Normal Priority = "normal"
+	Low    Priority = "low"
+)
+
+// Rank is 0 for the highest priority and grows downwards. The zero value
+// ranks as Normal.
+func (pr Priority) Rank() int {
+	switch pr {
+	case High:
+		return 0
+	case Low:
+		return 2
+	default:
+		return 1
+	}
+}
+
+// Valid reports whether the priority is one of the three.
+func (pr Priority) Valid() bool { return pr == High || pr == Normal || pr == Low }
+
+// AtMost returns the lower of two priorities.
+func (pr Priority) AtMost(limit Priority) Priority {
+	if pr.Rank() < limit.Rank() {
+		return limit
+	}
+	return pr
+}
+
+// Kind says what a borrower is.
+type Kind string
+
+// The kinds of borrower.
+const (
+	Trainer Kind = "trainer"
+	Caller  Kind = "caller"
+	Service Kind = "service"
+)
+
+// Valid reports whether the kind is one of the three.
+func (ki Kind) Valid() bool { return ki == Trainer || ki == Caller || ki == Service }
+
+// State says what a target or an instance does.
+type State string
+
+// The states of a target or an instance.
+const (
+	Starting State = "starting"
+	Serving  State = "serving"
+	Draining State = "draining"
+	Down     State = "down"
+)
+
+// ID names one attempt of a request.
+type ID [16]byte
+
+// ParseID reads an id from the wire.
+func ParseID(raw []byte) (ID, error) {
+	var id ID
+	if len(raw) != len(id) {
+		return id, errors.Newf("an id has %d bytes, not %d", len(id), len(raw))
+	}
+	copy(id[:], raw)
+	return id, nil
+}
+
+// Digest hashes the parts of a request that make it the same request again.
+func Digest(method, path string, body []byte) uint64 {
+	ha := xxhash.New()
+	_, _ = ha.WriteString(method)
+	_, _ = ha.Write([]byte{0})
+	_, _ = ha.WriteString(path)
+	_, _ = ha.Write([]byte{0})
+	_, _ = ha.Write(body)
+	return ha.Sum64()
+}
+
+// Rendezvous is the weight of a name for a key; the name with the highest
+// weight owns the key. Both sides of the system compute it alike.
+func Rendezvous(key, name string) uint64 {
+	ha := xxhash.New()
+	_, _ = ha.WriteString(key)
+	_, _ = ha.Write([]byte{0})
+	_, _ = ha.WriteString(name)
+	return ha.Sum64()
+}
+
+// Owner returns the name with the highest rendezvous weight, or "".
+func Owner(key string, names []string) string {
+	var (
+		best   string
+		weight uint64
+	)
+	for _, na := range names {
+		wt := Rendezvous(key, na)
+		if best == "" || wt > weight || (wt == weight && na < best) {
+			best, weight = na, wt
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/entry/remote.go
@@ -0,0 +1,348 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log/level"
+
+	"bilberryshelf/core"
+	"bilberryshelf/route"
+	"bilberryshelf/store"
+	"bilberryshelf/wire"
+	"bilberryshelf/wire/wireconnect"
+)
+
+// dialer bounds how long a dead instance can hold up a connection.
+var dialer = &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
+
+// remote is a guard as the loop knows it.
+type remote struct {
+	inst   store.Instance
+	client wireconnect.GuardServiceClient
+	hello  *wire.HelloResponse
+	// heard is when the last hello was answered.
+	heard  time.Time
+	misses int
+	mine   *atomic.Int64
+	// mineThen is this entry's share of the load in the last hello.
+	mineThen int
+	health   route.Health
+	// chosen says that the target is in this entry's subset.
+	chosen bool
+	kick   chan struct{}
+	cancel context.CancelFunc
+	// lost ends when the guard or its target stops answering.
+	lost     context.Context
+	loseNow  context.CancelFunc
+	released []string
+}
+
+// contact is a guard as traffic sees it. It is never changed in place.
+type contact struct {
+	route.Target
+	client    wireconnect.GuardServiceClient
+	lost      context.Context
+	guardTime time.Time
+	heard     time.Time
+	// silent says that the guard itself has stopped answering.
+	silent bool
+}
+
+func (re *remote) contact(now time.Time) *contact {
+	co := &contact{client: re.client, lost: re.lost, heard: re.heard}
+	co.Target = route.Target{
+		Name: re.inst.Name, Service: re.inst.Service, Region: re.inst.Region, Domain: re.inst.Domain,
+		Addr: re.inst.Addr, State: core.Starting, Mine: re.mine, MineThen: re.mineThen,
+		Return: re.health.Share(now),
+	}
+	if re.hello == nil {
+		return co
+	}
+	co.State = core.State(re.hello.State)
+	if re.inst.State == core.Draining {
+		co.State = core.Draining
+	}
+	if re.misses >= mostMisses {
+		co.State, co.silent = core.Down, true
+	}
+	co.Incarnation = re.hello.Incarnation
+	co.Revision, co.Version = re.hello.Revision, re.hello.Version
+	co.Capacity, co.Reported = int(re.hello.Capacity), int(re.hello.InFlight)
+	co.guardTime = time.Unix(0, re.hello.GuardTimeNanos)
+	return co
+}
+
+// deadline is the time, in the guard's clock, until which an attempt sent now
+// may start. It is reckoned from the guard's time in its last answer, which
+// its clock has passed since; so the deadline is never later than meant.
+func (co *contact) deadline(now time.Time, within time.Duration) time.Time {
+	return co.guardTime.Add(now.Sub(co.heard)).Add(within)
+}
+
+const (
+	// mostMisses is how many hellos in a row may fail before a target counts
+	// as down.
+	mostMisses = 3
+	// helloTimeout bounds one hello.
+	helloTimeout = time.Second
+)
+
+// readList takes in the platform's list of instances. The list lags, so a
+// target that leaves it is only let go once it no longer answers either.
+func (en *Entry) readList(ctx context.Context) {
+	instances, err := en.list.Fetch(ctx)
+	if err != nil {
+		en.meters.Count("platform-errors", "list", 1)
+		level.Warn(en.logger).Log("event", "list-not-read", "err", err)
+		return
+	}
+	en.loop.Do(func() {
+		en.instances = instances
+		en.meetEntries()
+		en.meetTargets(ctx)
+		en.publish()
+	})
+}
+
+func (en *Entry) meetEntries() {
+	for _, in := range en.instances {
+		if in.Role == store.RoleEntry && in.Name != en.settings.Name {
+			if in.State == core.Draining {
+				delete(en.peers, in.Name)
+				continue
+			}
+			en.addPeer(in.Name, in.Addr)
+		}
+	}
+	en.setPeers()
+}
+
+// meetTargets deals out the targets and starts or stops the hellos.
+func (en *Entry) meetTargets(ctx context.Context) {
+	byService := map[string][]string{}
+	listed := map[string]store.Instance{}
+	for _, in := range en.instances {
+		if in.Role != store.RoleGuard {
+			continue
+		}
+		listed[in.Name] = in
+		byService[in.Service] = append(byService[in.Service], in.Name)
+	}
+	entries := en.liveEntries()
+	chosen := map[string]bool{}
+	for _, names := range byService {
+		slices.Sort(names)
+		for _, na := range route.Subset(names, entries, en.settings.Name, en.settings.Limits.SubsetSize) {
+			chosen[na] = true
+		}
+	}
+	for na := range chosen {
+		en.meet(ctx, listed[na], true)
+	}
+	for na, re := range en.remotes {
+		if in, found := listed[na]; found {
+			re.inst.State = in.State
+		}
+		if !chosen[na] && (listed[na].Name == "" && re.misses < mostMisses) {
+			continue // off the list, still answering
+		}
+		if !chosen[na] {
+			en.part(na)
+		}
+	}
+}
+
+// meet starts the hellos to a target, anew if it has moved. It runs on the
+// loop.
+func (en *Entry) meet(ctx context.Context, in store.Instance, chosen bool) *remote {
+	re := en.remotes[in.Name]
+	if re != nil && re.inst.Addr == in.Addr {
+		re.inst = in
+		re.chosen = re.chosen || chosen
+		return re
+	}
+	if re != nil {
+		en.part(in.Name)
+	}
+	hctx, cancel := context.WithCancel(ctx)
+	re = &remote{
+		inst: in, chosen: chosen, mine: &atomic.Int64{}, cancel: cancel,
+		kick:   make(chan struct{}, 1),
+		client: wireconnect.NewGuardServiceClient(en.inner, "http://"+in.Addr, connect.WithInterceptors(bearer(en.nodeKey))),
+	}
+	re.lost, re.loseNow = context.WithCancel(context.Background())
+	en.remotes[in.Name] = re
+	go en.helloLoop(hctx, re)
+	return re
+}
+
+func (en *Entry) part(name string) {
+	re := en.remotes[name]
+	if re == nil {
+		return
+	}
+	re.cancel()
+	delete(en.remotes, name)
+}
+
+func (en *Entry) helloLoop(ctx context.Context, re *remote) {
+	for {
+		en.hello(ctx, re)
+		select {
+		case <-ctx.Done():
+			return
+		case <-re.kick:
+		case <-en.clock.After(en.settings.Timing.HelloEvery.Std()):
+		}
+	}
+}
+
+// hello exchanges configuration for load with one guard.
+func (en *Entry) hello(ctx context.Context, re *remote) {
+	var req *wire.HelloRequest
+	if !en.loop.Do(func() { req = en.helloRequest(re) }) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	then := int(re.mine.Load())
+	res, err := re.client.Hello(ctx, req)
+	en.loop.Do(func() { en.heardHello(re, res, err, then, req.Released) })
+}
+
+func (en *Entry) helloRequest(re *remote) *wire.HelloRequest {
+	req := &wire.HelloRequest{
+		Entry: en.settings.Name, EntryAddr: en.settings.InnerListen,
+		Generation: en.book.Generation, Released: re.released,
+	}
+	re.released = nil
+	if re.hello != nil && re.hello.Generation < en.book.Generation {
+		req.Slice = en.slice(re.inst.Name)
+	}
+	return req
+}
+
+// slice encodes the configuration of one target. It runs on the loop.
+func (en *Entry) slice(target string) []byte {
+	raw, err := en.book.For(target).Encode()
+	if err != nil {
+		level.Error(en.logger).Log("event", "slice-not-encoded", "target", target, "err", err)
+		return nil
+	}
+	return raw
+}
+
+func (en *Entry) heardHello(re *remote, res *wire.HelloResponse, err error, then int, released []string) {
+	now := en.clock.Now()
+	if err != nil {
+		re.misses++
+		re.released = append(re.released, released...)
+		if re.misses >= mostMisses {
+			re.lose()
+		}
+		en.publish()
+		return
+	}
+	behind := re.hello == nil && res.Generation < en.book.Generation
+	re.misses, re.hello, re.heard, re.mineThen = 0, res, now, then
+	if core.State(res.State) == core.Down {
+		re.lose()
+	}
+	for _, de := range res.Deaths {
+		en.noteDeath(now, de)
+	}
+	if behind {
+		re.hurry()
+	}
+	en.publish()
+}
+
+// lose ends the attempts in progress at a guard that does not answer.
+func (re *remote) lose() {
+	re.loseNow()
+	re.lost, re.loseNow = context.WithCancel(context.Background())
+}
+
+// hurry asks for a hello at once.
+func (re *remote) hurry() {
+	select {
+	case re.kick <- struct{}{}:
+	default:
+	}
+}
+
+// noteDeath takes in the death of a target, once.
+func (en *Entry) noteDeath(now time.Time, de *wire.Death) {
+	id, err := core.ParseID(de.Id)
+	if err != nil {
+		return
+	}
+	if _, known := en.deaths[id]; known {
+		return
+	}
+	en.deaths[id] = now
+	for old, at := range en.deaths {
+		if now.Sub(at) > en.settings.Timing.PoisonLapse.Std() {
+			delete(en.deaths, old)
+		}
+	}
+	en.poison.Death(now, de.Digests, de.Alone)
+	en.meters.Count("target-deaths", "", 1)
+	level.Warn(en.logger).Log("event", "target-death", "in-flight", len(de.Digests), "alone", de.Alone)
+}
+
+// reach finds a contact that has been heard from, meeting its guard first if
+// it is not in this entry's subset.
+func (en *Entry) reach(ctx context.Context, target string) (*contact, bool) {
+	if co := en.view.Load().remotes[target]; co != nil && co.Incarnation != 0 {
+		return co, true
+	}
+	var re *remote
+	en.loop.Do(func() {
+		for _, in := range en.instances {
+			if in.Name == target && in.Role == store.RoleGuard {
+				re = en.meet(en.ctx, in, false)
+			}
+		}
+	})
+	if re == nil {
+		return nil, false
+	}
+	en.hello(ctx, re)
+	co := en.view.Load().remotes[target]
+	return co, co != nil && co.Incarnation != 0
+}
+
+// bearer adds the nodes' token to every call.
+func bearer(key string) connect.Interceptor {
+	return &bearerInterceptor{key: "Bearer " + key}
+}
+
+type bearerInterceptor struct{ key string }
+
+// WrapUnary adds the token to a unary call.
+func (be *bearerInterceptor) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+		req.Header().Set("Authorization", be.key)
+		return next(ctx, req)
+	}
+}
+
+// WrapStreamingClient adds the token to a stream.
+func (be *bearerInterceptor) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+	return func(ctx context.Context, spec connect.Spec) connect.StreamingClientConn {
+		conn := next(ctx, spec)
+		conn.RequestHeader().Set("Authorization", be.key)
+		return conn
+	}
+}
+
+// WrapStreamingHandler leaves the serving side as it is.
+func (be *bearerInterceptor) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+	return next
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,427 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
+
+	"bilberryshelf/core"
+	"bilberryshelf/limit"
+	"bilberryshelf/loan"
+	"bilberryshelf/poison"
+	"bilberryshelf/retry"
+	"bilberryshelf/route"
+	"bilberryshelf/wire"
+)
+
+// request is one request on its way to a target.
+type request struct {
+	id         string
+	tenant     string
+	service    string
+	loan       loan.Loan
+	method     string
+	path       string
+	headers    []*wire.Header
+	body       []byte
+	digest     uint64
+	idempotent bool
+	// key is the key that guards remember; keyed says that the caller chose it,
+	// so that it binds the request to the key's home.
+	key      string
+	keyed    bool
+	priority core.Priority
+	deadline time.Time
+	prefix   uint64
+	// model says that the answer is a completion, so that a stream of it must
+	// end with the end mark.
+	model  bool
+	sample bool
+	least  uint64
+}
+
+// place is where an attempt goes.
+type place struct {
+	contact *contact
+	loan    loan.Loan
+	alone   bool
+}
+
+const (
+	// mostAsks is the number of settle questions for one request.
+	mostAsks = 2
+	// mostLooks is the number of looks for a place.
+	mostLooks = 100
+	// internalHold is how long a key that no caller knows is held.
+	internalHold = time.Minute
+)
+
+// perform gets one request run and its answer into the receiver. A nil error
+// means that the whole answer has been received.
+func (en *Entry) perform(ctx context.Context, rq *request, rc receiver) *core.Error {
+	began := en.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, rq.deadline.Sub(began))
+	defer cancel()
+	if er := en.enter(ctx, rq); er != nil {
+		en.note(rq, began, er)
+		return er
+	}
+	end := limit.Failed
+	er := en.attempts(ctx, rq, rc)
+	switch {
+	case er == nil:
+		end = limit.Served
+	case er.Code == core.CodeFull:
+		end = limit.Crowded
+	}
+	en.loop.Post(func() { en.leave(rq, end) })
+	en.note(rq, began, er)
+	return er
+}
+
+func (en *Entry) note(rq *request, began time.Time, er *core.Error) {
+	took := en.clock.Now().Sub(began)
+	en.meters.Observe("request", rq.tenant, took)
+	en.meters.Observe("class", string(rq.priority), took)
+	code := "ok"
+	if er != nil {
+		code = string(er.Code)
+		level.Info(en.logger).Log("event", "request-failed", "request", rq.id, "tenant", rq.tenant, "loan", rq.loan.ID,
+			"service", rq.service, "code", er.Code, "verdict", er.Verdict, "text", er.Text, "took", took)
+	}
+	en.meters.Count("requests", code, 1)
+}
+
+// enter asks the gate of the service and waits for its place.
+func (en *Entry) enter(ctx context.Context, rq *request) *core.Error {
+	var (
+		de   limit.Decision
+		wait chan *core.Error
+		item = limit.Item{Tenant: rq.tenant, Priority: rq.priority, Deadline: rq.deadline}
+	)
+	served := en.loop.Do(func() {
+		now := en.clock.Now()
+		ga := en.gateOf(rq.service)
+		en.lastGate++
+		item.ID = en.lastGate
+		de = ga.Offer(now, item)
+		if de.Answer == limit.Wait {
+			wait = make(chan *core.Error, 1)
+			ga.waiting[item.ID] = wait
+		}
+		if de.Evicted != nil {
+			ga.waiting[de.Evicted.ID] <- de.EvictedError
+			delete(ga.waiting, de.Evicted.ID)
+		}
+		if de.Answer != limit.No {
+			en.budget.Earn()
+		}
+	})
+	if !served {
+		return core.Refuse(core.CodeDraining, "the entry has stopped")
+	}
+	switch de.Answer {
+	case limit.Admit:
+		return nil
+	case limit.No:
+		return de.Error
+	}
+	select {
+	case er := <-wait:
+		return er
+	case <-ctx.Done():
+		return en.abandon(rq, item, wait)
+	}
+}
+
+// abandon leaves the queue; a place that was granted meanwhile is given back.
+func (en *Entry) abandon(rq *request, item limit.Item, wait chan *core.Error) *core.Error {
+	var comeBack time.Duration
+	en.loop.Do(func() {
+		ga := en.gateOf(rq.service)
+		comeBack = ga.ComeBack(en.clock.Now())
+		delete(ga.waiting, item.ID)
+		if !ga.Cancel(item) && len(wait) > 0 && (<-wait) == nil {
+			en.leave(rq, limit.Failed)
+		}
+	})
+	return core.Refuse(core.CodeDeadline, "no place came free before the deadline").WithRetryAfter(comeBack)
+}
+
+// leave gives a place back. It runs on the loop.
+func (en *Entry) leave(rq *request, end limit.End) {
+	ga := en.gateOf(rq.service)
+	for _, id := range ga.Leave(en.clock.Now(), rq.tenant, end) {
+		if wait := ga.waiting[id]; wait != nil {
+			wait <- nil
+			delete(ga.waiting, id)
+		}
+	}
+}
+
+// chase is the state of one request between its attempts.
+type chase struct {
+	rq    *request
+	rc    receiver
+	plan  retry.Plan
+	tried []string
+	at    place
+	id    core.ID
+}
+
+// attempts follows the plan of the request until it is answered or given up.
+func (en *Entry) attempts(ctx context.Context, rq *request, rc receiver) *core.Error {
+	ch := &chase{rq: rq, rc: rc, plan: retry.Plan{
+		Idempotent: rq.idempotent, Home: rq.keyed, Left: en.settings.Limits.Attempts - 1,
+		Asks: mostAsks, Looks: mostLooks, Deadline: rq.deadline,
+	}}
+	next := retry.Next{Move: retry.Elsewhere}
+	for next.Move != retry.Finish {
+		if next.Wait > 0 && !en.pause(ctx, next.Wait) {
+			return ch.plan.GiveUp()
+		}
+		re := en.follow(ctx, ch, next.Move)
+		if re.Event == "" {
+			return nil
+		}
+		if rc.spoilt() {
+			return re.Error.WithVerdict(core.MayHaveRun)
+		}
+		next = ch.plan.Next(en.clock.Now(), re, en.spend)
+	}
+	return next.Error
+}
+
+// follow makes one move; an empty report means that the answer is whole.
+func (en *Entry) follow(ctx context.Context, ch *chase, move retry.Move) retry.Report {
+	if move == retry.Ask {
+		return en.settle(ctx, ch.at, ch.id)
+	}
+	if move != retry.Attach {
+		at, er := en.place(ctx, ch)
+		if er != nil {
+			return retry.Report{Event: retry.Refused, Error: er}
+		}
+		ch.at = at
+	}
+	ch.id = core.ID(uuid.New())
+	oc := en.attempt(ctx, ch.rq, ch.at, ch.id, ch.rc)
+	if oc.whole() {
+		en.wentWell(ch.rq, ch.at, oc.first)
+		return oc.report
+	}
+	if failedThere(oc.report) {
+		ch.tried = append(ch.tried, ch.at.contact.Name)
+		en.wentWrong(ctx, ch.at)
+	}
+	if er := oc.report.Error; er.Code == core.CodeStaleRevision {
+		en.loop.Post(func() { en.fetch(er.Revision) })
+	}
+	return oc.report
+}
+
+// failedThere reports an attempt that speaks against its target.
+func failedThere(re retry.Report) bool {
+	if re.Event == retry.Cut {
+		return true
+	}
+	switch re.Error.Code {
+	case core.CodeTargetDown, core.CodeTargetLost, core.CodeAnswerCut, core.CodeDraining, core.CodeOldIncarnation:
+		return true
+	default:
+		return false
+	}
+}
+
+func (en *Entry) pause(ctx context.Context, wait time.Duration) bool {
+	wait += time.Duration(rand.Int64N(int64(wait)/2 + 1))
+	select {
+	case <-ctx.Done():
+		return false
+	case <-en.clock.After(wait):
+		return true
+	}
+}
+
+func (en *Entry) spend() bool {
+	ok := false
+	en.loop.Do(func() { ok = en.budget.Spend() })
+	en.meters.Count("retries", "", 1)
+	return ok
+}
+
+// wentWell and wentWrong report to the health of the target. An answer of a
+// request that ran alone clears it.
+func (en *Entry) wentWell(rq *request, at place, first time.Duration) {
+	en.loop.Post(func() {
+		now := en.clock.Now()
+		if at.alone {
+			en.poison.Survived(now, rq.digest)
+		}
+		if re := en.remotes[at.contact.Name]; re != nil {
+			re.health.Answered(now, first, en.typicalFirst(re))
+		}
+	})
+}
+
+// typicalFirst is the median time to the head at the other targets of the
+// service; zero if fewer than two are known.
+func (en *Entry) typicalFirst(than *remote) time.Duration {
+	var others []time.Duration
+	for _, re := range en.remotes {
+		if re != than && re.inst.Service == than.inst.Service && re.health.Latency() > 0 {
+			others = append(others, re.health.Latency())
+		}
+	}
+	if len(others) < leastPeers {
+		return 0
+	}
+	slices.Sort(others)
+	return others[len(others)/2]
+}
+
+// leastPeers is how many other targets must be known for a typical time.
+const leastPeers = 2
+
+// wentWrong asks the guard at once whether its target died, so that what it
+// learns holds for the very next attempt.
+func (en *Entry) wentWrong(ctx context.Context, at place) {
+	var re *remote
+	en.loop.Do(func() {
+		if re = en.remotes[at.contact.Name]; re != nil {
+			re.health.Failed(en.clock.Now())
+		}
+	})
+	if re != nil {
+		en.hello(ctx, re)
+	}
+}
+
+// settle asks a guard what became of an attempt.
+func (en *Entry) settle(ctx context.Context, at place, id core.ID) retry.Report {
+	ctx, cancel := context.WithTimeout(ctx, en.settings.Timing.SettleTimeout.Std())
+	defer cancel()
+	co := at.contact
+	until := co.deadline(en.clock.Now(), en.settings.Timing.StartWithin.Std())
+	res, err := co.client.Settle(ctx, &wire.SettleRequest{Id: id[:], Incarnation: co.Incarnation, ForbidUntilNanos: until.UnixNano()})
+	if err != nil {
+		return retry.Report{Event: retry.Unsettled, Error: core.Doubt(core.CodeTargetLost, "the guard does not say what became of it")}
+	}
+	en.meters.Count("settled", res.State, 1)
+	return retry.Report{Event: retry.Settled, State: res.State}
+}
+
+// place chooses the target of an attempt.
+func (en *Entry) place(ctx context.Context, ch *chase) (place, *core.Error) {
+	vi, rq := en.view.Load(), ch.rq
+	if bad, known := vi.poison[rq.digest]; known && en.clock.Now().Before(bad.Until) {
+		switch bad.State {
+		case poison.Condemned:
+			return place{}, core.Refuse(core.CodePoison, "this request crashes the targets that run it").
+				WithRetryAfter(bad.Until.Sub(en.clock.Now()))
+		case poison.Suspect:
+			return en.placeAlone(vi, ch)
+		}
+	}
+	if rq.keyed {
+		return en.placeHome(ctx, vi, rq)
+	}
+	return en.placeAny(vi, rq, ch.tried)
+}
+
+func (en *Entry) placeAny(vi *view, rq *request, tried []string) (place, *core.Error) {
+	ta, er := route.Choose(vi.route, route.Ask{
+		Service: rq.service, Region: en.settings.Place.Region, Tried: tried, Prefix: rq.prefix, LeastVersion: rq.least,
+		Allowed: func(name string) bool { return slices.Contains(rq.loan.Targets, name) },
+		Draw:    rand.IntN,
+		Link:    func() bool { return en.link == nil || en.link.AllowN(en.clock.Now(), linkCost(rq)) },
+	})
+	if er != nil {
+		return place{}, er
+	}
+	return place{contact: vi.remotes[ta.Name], loan: rq.loan}, nil
+}
+
+const (
+	// answerGuess is the bytes of an answer, for the budget of the link.
+	answerGuess = 16 << 10
+)
+
+func linkCost(rq *request) int { return len(rq.body) + answerGuess }
+
+// placeAlone sends a suspect to one target, the same at every entry, where
+// nothing else runs at the time.
+func (en *Entry) placeAlone(vi *view, ch *chase) (place, *core.Error) {
+	rq := ch.rq
+	var names []string
+	for _, ta := range vi.route.Targets {
+		if ta.Service == rq.service && ta.State == core.Serving && slices.Contains(rq.loan.Targets, ta.Name) {
+			names = append(names, ta.Name)
+		}
+	}
+	owner := core.Owner(string(digestKey(rq.digest)), names)
+	if owner == "" {
+		return place{}, core.Refuse(core.CodeNoTarget, "no target of %s serves", rq.service)
+	}
+	ch.plan.Home = true
+	return place{contact: vi.remotes[owner], loan: rq.loan, alone: true}, nil
+}
+
+func digestKey(digest uint64) []byte {
+	raw := make([]byte, 8)
+	for at := range raw {
+		raw[at] = byte(digest >> (8 * at))
+	}
+	return raw
+}
+
+// placeHome finds the home of a caller's key. A former home that may know the
+// key is asked first: if it never saw the key it forbids it and the present
+// home may run it; if it knows the key, it has the answer.
+func (en *Entry) placeHome(ctx context.Context, vi *view, rq *request) (place, *core.Error) {
+	now := en.clock.Now()
+	hold := en.settings.Timing.KeyHold.Std()
+	homes := vi.book.Homes(rq.tenant, rq.service, rq.key, now, hold)
+	for _, former := range homes[1:] {
+		state, co := en.settleKey(ctx, former, rq.key)
+		switch state {
+		case "forbidden":
+		case "running", "ran":
+			return place{contact: co, loan: rq.loan}, nil
+		default:
+			return place{}, core.Doubt(core.CodeKeyHomeGone, "target %s may have run this key and does not say", former)
+		}
+	}
+	home := homes[0]
+	if home == "" {
+		return place{}, core.Refuse(core.CodeNoLoan, "%s has no loan of %s", rq.tenant, rq.service)
+	}
+	lo, er := vi.book.Covering(rq.tenant, home, now)
+	if er != nil {
+		return place{}, er
+	}
+	co, found := en.reach(ctx, home)
+	if !found || co.silent {
+		return place{}, core.Doubt(core.CodeKeyHomeGone, "target %s, the home of this key, does not answer", home)
+	}
+	return place{contact: co, loan: lo}, nil
+}
+
+func (en *Entry) settleKey(ctx context.Context, target, key string) (string, *contact) {
+	co, found := en.reach(ctx, target)
+	if !found {
+		return "", nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, en.settings.Timing.SettleTimeout.Std())
+	defer cancel()
+	until := co.deadline(en.clock.Now(), en.settings.Timing.KeyHold.Std())
+	res, err := co.client.Settle(ctx, &wire.SettleRequest{Key: key, Incarnation: co.Incarnation, ForbidUntilNanos: until.UnixNano()})
+	if err != nil {
+		return "", nil
+	}
+	return res.State, co
+}
--- /dev/null
+++ b/entry/trainer.go
@@ -0,0 +1,432 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
+
+	"bilberryshelf/core"
+	"bilberryshelf/engine"
+	"bilberryshelf/loan"
+	"bilberryshelf/sample"
+	"bilberryshelf/wire"
+)
+
+// step is a trainer's step at its owner.
+type step struct {
+	*sample.Step
+	// news closes when a sample has arrived; then it is replaced.
+	news chan struct{}
+	used time.Time
+}
+
+const (
+	// stepTick is the pace at which steps are looked through for stragglers.
+	stepTick = 100 * time.Millisecond
+	// stepHold is how long a step is kept after its last call.
+	stepHold = 30 * time.Minute
+	// failedPause is the shortest wait before a failed slot is run again.
+	failedPause = 250 * time.Millisecond
+	// mostWait bounds how long a take waits for samples.
+	mostWait = 30 * time.Second
+	// headerWait is how long a take may wait for a first sample.
+	headerWait = "Bilberryshelf-Wait"
+)
+
+// The calls that are relayed to the owner of a step.
+const (
+	callCreate = "create"
+	callTake   = "take"
+	callShow   = "show"
+)
+
+func stepName(trainer, name string) string { return trainer + "/" + name }
+
+// owner is the entry that keeps a step: the rendezvous owner among the live
+// entries. While views differ there may be two; the trainer's own account of
+// what it has keeps them from delivering twice.
+func (en *Entry) owner(name string) (entry, addr string) {
+	vi := en.view.Load()
+	entry = core.Owner(name, vi.entries)
+	return entry, vi.addrs[entry]
+}
+
+func (en *Entry) createStep(out http.ResponseWriter, req *http.Request, name string) *core.Error {
+	var sp sample.Spec
+	if er := en.readJSON(out, req, &sp); er != nil {
+		return er
+	}
+	sp.Trainer = name
+	if er := sp.Check(); er != nil {
+		return er
+	}
+	if _, er := en.find(name, sp.Service); er != nil {
+		return er
+	}
+	return en.relay(out, req, stepName(name, sp.Step), callCreate, sp)
+}
+
+func (en *Entry) takeSamples(out http.ResponseWriter, req *http.Request, name string) *core.Error {
+	var ta sample.Take
+	if er := en.readJSON(out, req, &ta); er != nil {
+		return er
+	}
+	return en.relay(out, req, stepName(name, req.PathValue("step")), callTake, ta)
+}
+
+func (en *Entry) showStep(out http.ResponseWriter, req *http.Request, name string) *core.Error {
+	return en.relay(out, req, stepName(name, req.PathValue("step")), callShow, nil)
+}
+
+// relay answers a trainer's call here or at the owner of the step.
+func (en *Entry) relay(out http.ResponseWriter, req *http.Request, name, call string, body any) *core.Error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return core.Refuse(core.CodeBadRequest, "%v", err)
+	}
+	wait, err := time.ParseDuration(req.Header.Get(headerWait))
+	if err != nil {
+		wait = 0
+	}
+	wait = min(wait, mostWait)
+	rr := &wire.RelayRequest{Trainer: name, Call: call, Body: raw, WaitNanos: int64(wait)}
+	owner, addr := en.owner(name)
+	var res *wire.RelayResponse
+	if owner == en.settings.Name || addr == "" {
+		res, err = en.Relay(req.Context(), rr)
+	} else {
+		ctx, cancel := patience(req.Context(), wait+spreadTimeout)
+		defer cancel()
+		res, err = en.peer(addr).Relay(ctx, rr)
+	}
+	if err != nil {
+		en.meters.Count("peer-errors", "relay", 1)
+		en.loop.Do(func() { en.forgetPeer(owner) })
+		return core.Refuse(core.CodeUnknownStep, "entry %s, which owned the step, does not answer; create the step again", owner).
+			WithRetryAfter(stepTick)
+	}
+	out.Header().Set("Content-Type", "application/json")
+	out.WriteHeader(int(res.Status))
+	_, _ = out.Write(res.Body)
+	return nil
+}
+
+// forgetPeer takes a peer that does not answer out of the view, until the
+// list or the peer itself brings it back.
+func (en *Entry) forgetPeer(name string) {
+	next := map[string]string{}
+	for na, ad := range en.peers {
+		if na != name {
+			next[na] = ad
+		}
+	}
+	en.peers = next
+	en.setPeers()
+	en.publish()
+}
+
+// Relay serves a trainer's call at the owner of the step.
+func (en *Entry) Relay(ctx context.Context, req *wire.RelayRequest) (*wire.RelayResponse, error) {
+	var (
+		value any
+		er    *core.Error
+	)
+	switch req.Call {
+	case callCreate:
+		value, er = en.ownStep(req)
+	case callTake:
+		value, er = en.give(ctx, req)
+	case callShow:
+		value, er = en.describeStep(req.Trainer)
+	default:
+		return nil, connect.NewError(connect.CodeUnimplemented, nil)
+	}
+	if er != nil {
+		return &wire.RelayResponse{Status: int32(statusOf(er)), Body: errorBody(er)}, nil
+	}
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return &wire.RelayResponse{Status: http.StatusOK, Body: raw}, nil
+}
+
+// stepState is what a trainer is told of its step.
+type stepState struct {
+	Step    string        `json:"step"`
+	Slots   int           `json:"slots"`
+	Running int           `json:"running"`
+	Done    bool          `json:"done"`
+	Counts  sample.Counts `json:"counts"`
+}
+
+func (st *step) describe() stepState {
+	return stepState{
+		Step: st.Spec.Step, Slots: st.Spec.Slots(), Running: st.Running(), Done: st.Complete(), Counts: st.Counts(),
+	}
+}
+
+// ownStep starts a step, or finds that it goes on already.
+func (en *Entry) ownStep(req *wire.RelayRequest) (state stepState, er *core.Error) {
+	var sp sample.Spec
+	if err := json.Unmarshal(req.Body, &sp); err != nil {
+		return state, core.Refuse(core.CodeBadRequest, "%v", err)
+	}
+	en.loop.Do(func() {
+		st := en.steps[req.Trainer]
+		if st != nil && !st.Spec.Same(sp) {
+			er = core.Refuse(core.CodeConflict, "step %s goes on with other prompts", sp.Step)
+			return
+		}
+		if st == nil {
+			st = &step{Step: sample.NewStep(sp), news: make(chan struct{})}
+			st.Window = en.settings.Sample.Window
+			st.ExtraShare, st.ExtraAfter = en.settings.Sample.ExtraShare, en.settings.Sample.ExtraAfter
+			en.steps[req.Trainer] = st
+			level.Info(en.logger).Log("event", "step", "step", req.Trainer, "slots", sp.Slots())
+		}
+		st.used = en.clock.Now()
+		state = st.describe()
+	})
+	go en.driveSteps(en.ctx)
+	return state, er
+}
+
+func (en *Entry) describeStep(name string) (state stepState, er *core.Error) {
+	er = unknownStep(name)
+	en.loop.Do(func() {
+		if st := en.steps[name]; st != nil {
+			state, er = st.describe(), nil
+		}
+	})
+	return state, er
+}
+
+func unknownStep(name string) *core.Error {
+	return core.Refuse(core.CodeUnknownStep, "step %s is not known here; create it again", name)
+}
+
+// give answers a take, waiting for a first sample if the trainer wants to.
+func (en *Entry) give(ctx context.Context, req *wire.RelayRequest) (gi sample.Given, er *core.Error) {
+	var ta sample.Take
+	if err := json.Unmarshal(req.Body, &ta); err != nil {
+		return gi, core.Refuse(core.CodeBadRequest, "%v", err)
+	}
+	over := en.clock.After(time.Duration(req.WaitNanos))
+	for {
+		var news chan struct{}
+		er = unknownStep(req.Trainer)
+		en.loop.Do(func() {
+			st := en.steps[req.Trainer]
+			if st == nil {
+				return
+			}
+			var released []string
+			gi, released, er = st.Take(ta)
+			st.used, news = en.clock.Now(), st.news
+			en.release(released)
+		})
+		if er != nil || len(gi.Samples) > 0 || gi.Left == 0 {
+			return gi, er
+		}
+		select {
+		case <-news:
+		case <-over:
+			return gi, nil
+		case <-ctx.Done():
+			return gi, nil
+		}
+	}
+}
+
+// release tells the guards which kept samples are no longer needed. It runs
+// on the loop; the names go out with the next hellos.
+func (en *Entry) release(keys []string) {
+	for _, re := range en.remotes {
+		re.released = append(re.released, keys...)
+	}
+}
+
+// driveSteps starts the runs that the steps want.
+func (en *Entry) driveSteps(ctx context.Context) {
+	en.loop.Do(func() {
+		now := en.clock.Now()
+		for na, st := range en.steps {
+			if now.Sub(st.used) > stepHold {
+				delete(en.steps, na)
+				continue
+			}
+			for _, jo := range st.Want(now) {
+				go en.generate(ctx, na, st, jo)
+			}
+		}
+	})
+}
+
+// generate runs one slot and reports to its step.
+func (en *Entry) generate(ctx context.Context, name string, st *step, jo sample.Job) {
+	sa, certain, er := en.runSample(ctx, st.Spec, jo)
+	en.loop.Do(func() {
+		if er != nil {
+			st.Failed(en.clock.Now(), jo, max(er.RetryAfter, failedPause))
+			return
+		}
+		st.Finished(en.clock.Now(), jo, sa, certain)
+		close(st.news)
+		st.news = make(chan struct{})
+	})
+	if er != nil {
+		en.meters.Count("sample-failed", string(er.Code), 1)
+		level.Debug(en.logger).Log("event", "sample-failed", "step", name, "code", er.Code)
+		return
+	}
+	en.driveSteps(ctx)
+}
+
+// sampleBody is the completions request of one sample.
+type sampleBody struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Seed      int    `json:"seed"`
+	Stream    bool   `json:"stream"`
+}
+
+const sampleTimeout = 16 * time.Minute
+
+func (en *Entry) runSample(ctx context.Context, sp sample.Spec, jo sample.Job) (sample.Sample, bool, *core.Error) {
+	var sa sample.Sample
+	lo, er := en.find(sp.Trainer, sp.Service)
+	if er != nil {
+		return sa, false, er
+	}
+	body, err := json.Marshal(sampleBody{
+		Model: sp.Service, Prompt: sp.Prompts[jo.Slot.Group], MaxTokens: sp.MaxTokens,
+		Seed: jo.Slot.Index + 1, Stream: true,
+	})
+	if err != nil {
+		return sa, false, core.Refuse(core.CodeBadRequest, "%v", err)
+	}
+	rq := en.sampleRequest(sp, jo, lo, body)
+	tr := &transcript{}
+	if er := en.perform(ctx, rq, tr); er != nil {
+		return sa, false, er
+	}
+	sa.Text = tr.text.String()
+	for _, se := range tr.segments {
+		sa.Segments = append(sa.Segments, sample.Segment{Version: se.Version, Tokens: int(se.Tokens)})
+	}
+	return sa, len(tr.segments) > 0, nil
+}
+
+func (en *Entry) sampleRequest(sp sample.Spec, jo sample.Job, lo loan.Loan, body []byte) *request {
+	const path = "/v1/completions"
+	deadline := en.clock.Now().Add(sampleTimeout)
+	if !sp.Deadline.IsZero() && sp.Deadline.Before(deadline) && sp.Deadline.After(en.clock.Now()) {
+		deadline = sp.Deadline
+	}
+	return &request{
+		id: uuid.NewString(), tenant: sp.Trainer, service: sp.Service, loan: lo,
+		method: http.MethodPost, path: path, body: body,
+		headers: []*wire.Header{{Name: "Content-Type", Value: "application/json"}},
+		digest:  core.Digest(http.MethodPost, sp.Service+path, body), idempotent: true,
+		key: sp.Key(jo), priority: lo.Priority, deadline: deadline,
+		prefix: prefixOf(sp.Trainer, []byte(sp.Prompts[jo.Slot.Group])),
+		model:  true, sample: true, least: jo.Least,
+	}
+}
+
+// transcript receives a sample.
+type transcript struct {
+	stream   engine.Stream
+	text     strings.Builder
+	closed   bool
+	segments []*wire.Segment
+}
+
+func (tr *transcript) begin(head *wire.Head, _ string) *core.Error {
+	*tr = transcript{}
+	if head.Status != http.StatusOK {
+		return core.Doubt(core.CodeAnswerCut, "the engine answered with status %d", head.Status)
+	}
+	return nil
+}
+
+func (tr *transcript) take(raw []byte) *core.Error {
+	for _, ev := range tr.stream.Feed(raw) {
+		if ev.Failed {
+			return core.Doubt(core.CodeAnswerCut, "the engine ended its stream with an error")
+		}
+		tr.text.WriteString(ev.Text)
+		tr.closed = tr.closed || ev.Last
+	}
+	return nil
+}
+
+func (tr *transcript) end(end *wire.End) *core.Error {
+	if !tr.closed {
+		return core.Doubt(core.CodeAnswerCut, "the engine ended its stream without the end mark")
+	}
+	tr.segments = end.Segments
+	return nil
+}
+
+func (tr *transcript) spoilt() bool { return false }
+
+// weights is what a trainer announces.
+type weights struct {
+	Service string `json:"service"`
+	Version uint64 `json:"version"`
+	Object  string `json:"object"`
+}
+
+// weightsAccepted is the answer to an announcement.
+type weightsAccepted struct {
+	Service    string `json:"service"`
+	Version    uint64 `json:"version"`
+	Generation uint64 `json:"generation"`
+}
+
+// publishWeights accepts new weights. A version is accepted once; announcing
+// it again is answered alike, an older one is refused.
+func (en *Entry) publishWeights(out http.ResponseWriter, req *http.Request, name string) *core.Error {
+	var we weights
+	if er := en.readJSON(out, req, &we); er != nil {
+		return er
+	}
+	if we.Service == "" || we.Version == 0 {
+		return core.Refuse(core.CodeBadRequest, "service and a version of 1 or more are needed")
+	}
+	if _, er := en.find(name, we.Service); er != nil {
+		return er
+	}
+	now := en.clock.Now()
+	bo, er := en.commit(req.Context(), uuid.NewString(), name, func(bo loan.Book) (loan.Book, *core.Error) {
+		present := bo.Version(we.Service)
+		if we.Version <= present.Number {
+			return bo, core.Refuse(core.CodeConflict, "version %d of %s is in force already", present.Number, we.Service)
+		}
+		return bo.WithVersion(loan.Version{
+			Service: we.Service, Number: we.Version, Object: we.Object, Trainer: name, Announced: now,
+		}), nil
+	})
+	if er != nil && en.announced(we, name) {
+		return writeJSON(out, weightsAccepted{Service: we.Service, Version: we.Version, Generation: en.view.Load().book.Generation})
+	}
+	if er != nil {
+		return er
+	}
+	return writeJSON(out, weightsAccepted{Service: we.Service, Version: we.Version, Generation: bo.Generation})
+}
+
+// announced reports whether this very announcement is in force.
+func (en *Entry) announced(we weights, name string) bool {
+	ve := en.view.Load().book.Version(we.Service)
+	return ve.Number == we.Version && ve.Object == we.Object && ve.Trainer == name
+}
--- /dev/null
+++ b/limit/gate.go
@@ -0,0 +1,340 @@
+package limit
+
+import (
+	"container/heap"
+	"time"
+
+	"bilberryshelf/core"
+)
+
+// Item is a request that asks to be let in.
+type Item struct {
+	ID       uint64
+	Tenant   string
+	Priority core.Priority
+	Deadline time.Time
+}
+
+// Answer says what happens to an offered item.
+type Answer string
+
+// The answers.
+const (
+	Admit Answer = "admit"
+	Wait  Answer = "wait"
+	No    Answer = "no"
+)
+
+// Decision is an answer with its details. Evicted is set when a waiting item
+// had to make room; it is refused at once with EvictedError.
+type Decision struct {
+	Answer       Answer
+	Error        *core.Error
+	Evicted      *Item
+	EvictedError *core.Error
+}
+
+// End says how an admitted item left.
+type End string
+
+// The ends.
+const (
+	// Served means that a target answered.
+	Served End = "served"
+	// Failed means anything else but a refusal for lack of room.
+	Failed End = "failed"
+	// Crowded means that the targets refused for lack of room.
+	Crowded End = "crowded"
+)
+
+const (
+	priorities = 3
+	// windowCut is what a Crowded end leaves of the window.
+	windowCut = 0.9
+	// comeBackFloor is the shortest time to come back.
+	comeBackFloor = 100 * time.Millisecond
+	// comeBackCeiling is the longest.
+	comeBackCeiling = time.Minute
+	// cutPause is the shortest time between two cuts of the window.
+	cutPause = 100 * time.Millisecond
+)
+
+// Gate admits requests to one service.
+//
+//  1. At most Window items are in flight. The window grows by one for each
+//     window of served items while it is full, and shrinks when targets
+//     refuse for lack of room. It stays between Least and Most.
+//  2. Waiting items leave the queue by priority; inside a priority the tenant
+//     with the fewest items in flight goes first; inside a tenant the
+//     earliest deadline.
+//  3. An item whose wait, at the present drain rate, would outlast its
+//     deadline is refused at once.
+//  4. A full queue refuses the newcomer, unless an item of lower priority
+//     waits, which is refused in its place.
+//  5. The time to come back is what the queue ahead takes at the drain rate,
+//     spread by jitter so that refused callers do not return together.
+//
+// A Gate is not safe for concurrent use. The zero value admits nothing but
+// one item at a time and queues none.
+type Gate struct {
+	// Least and Most bound the window.
+	Least, Most float64
+	// Depth bounds the queue.
+	Depth int
+	// Jitter draws from [0,1); nil means no jitter.
+	Jitter func() float64
+
+	window  float64
+	flight  int
+	running map[string]int
+	queues  [priorities]map[string]*queue
+	queued  [priorities]int
+	drain   Rate
+	cut     time.Time
+}
+
+// Window is the number of items allowed in flight at present.
+func (ga *Gate) Window() float64 {
+	if ga.window == 0 {
+		ga.window = max(ga.Least, 1)
+	}
+	return ga.window
+}
+
+// InFlight is the number of admitted items that have not left.
+func (ga *Gate) InFlight() int { return ga.flight }
+
+// Queued is the number of waiting items.
+func (ga *Gate) Queued() int {
+	total := 0
+	for _, nu := range ga.queued {
+		total += nu
+	}
+	return total
+}
+
+// Offer decides on a new item.
+func (ga *Gate) Offer(now time.Time, it Item) Decision {
+	if float64(ga.flight) < ga.Window() && ga.ahead(it.Priority.Rank()) == 0 {
+		ga.enter(it.Tenant)
+		return Decision{Answer: Admit}
+	}
+	if er := ga.tooLate(now, it); er != nil { // rule 3
+		return Decision{Answer: No, Error: er}
+	}
+	if ga.Queued() < ga.Depth {
+		ga.push(it)
+		return Decision{Answer: Wait}
+	}
+	victim, found := ga.evict(it.Priority.Rank()) // rule 4
+	if !found {
+		return Decision{Answer: No, Error: ga.full(now)}
+	}
+	ga.push(it)
+	return Decision{Answer: Wait, Evicted: &victim, EvictedError: ga.full(now)}
+}
+
+// ahead counts the waiting items that go before a newcomer of the rank.
+func (ga *Gate) ahead(rank int) int {
+	total := 0
+	for at := 0; at <= rank; at++ {
+		total += ga.queued[at]
+	}
+	return total
+}
+
+func (ga *Gate) tooLate(now time.Time, it Item) *core.Error {
+	if it.Deadline.IsZero() {
+		return nil
+	}
+	rate := ga.drain.PerSecond(now)
+	if rate <= 0 {
+		return nil
+	}
+	wait := seconds(float64(ga.ahead(it.Priority.Rank())+1) / rate)
+	if now.Add(wait).Before(it.Deadline) {
+		return nil
+	}
+	return core.Refuse(core.CodeQueueWait, "the wait of %s would outlast the deadline", wait.Round(time.Millisecond)).
+		WithRetryAfter(ga.ComeBack(now))
+}
+
+func (ga *Gate) full(now time.Time) *core.Error {
+	return core.Refuse(core.CodeFull, "the queue is full").WithRetryAfter(ga.ComeBack(now))
+}
+
+// ComeBack is when a refused caller may expect room (rule 5).
+func (ga *Gate) ComeBack(now time.Time) time.Duration {
+	rate := ga.drain.PerSecond(now)
+	wait := comeBackFloor
+	if rate > 0 {
+		wait = max(wait, seconds(float64(ga.Queued()+1)/rate))
+	}
+	if ga.Jitter != nil {
+		wait += time.Duration(ga.Jitter() * float64(wait))
+	}
+	return min(wait, comeBackCeiling)
+}
+
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+
+func (ga *Gate) enter(tenant string) {
+	if ga.running == nil {
+		ga.running = map[string]int{}
+	}
+	ga.running[tenant]++
+	ga.flight++
+}
+
+// Leave takes an admitted item out and returns the ids of the waiting items
+// that come in for it.
+func (ga *Gate) Leave(now time.Time, tenant string, en End) []uint64 {
+	full := float64(ga.flight) >= ga.Window()
+	ga.flight--
+	if ga.running[tenant]--; ga.running[tenant] <= 0 {
+		delete(ga.running, tenant)
+	}
+	switch en { // rule 1
+	case Served:
+		ga.drain.Add(now)
+		if full {
+			ga.window = min(ga.Window()+1/ga.Window(), max(ga.Most, 1))
+		}
+	case Crowded:
+		if now.Sub(ga.cut) >= cutPause {
+			ga.cut = now
+			ga.window = max(ga.Window()*windowCut, ga.Least, 1)
+		}
+	}
+	var granted []uint64
+	for float64(ga.flight) < ga.Window() {
+		it, found := ga.pop()
+		if !found {
+			break
+		}
+		ga.enter(it.Tenant)
+		granted = append(granted, it.ID)
+	}
+	return granted
+}
+
+// Cancel takes a waiting item out; it reports whether it was still waiting.
+func (ga *Gate) Cancel(it Item) bool {
+	rank := it.Priority.Rank()
+	qu := ga.queues[rank][it.Tenant]
+	if qu == nil {
+		return false
+	}
+	for at := range *qu {
+		if (*qu)[at].ID == it.ID {
+			heap.Remove(qu, at)
+			ga.shrink(rank, it.Tenant)
+			return true
+		}
+	}
+	return false
+}
+
+func (ga *Gate) push(it Item) {
+	rank := it.Priority.Rank()
+	if ga.queues[rank] == nil {
+		ga.queues[rank] = map[string]*queue{}
+	}
+	qu := ga.queues[rank][it.Tenant]
+	if qu == nil {
+		qu = &queue{}
+		ga.queues[rank][it.Tenant] = qu
+	}
+	heap.Push(qu, it)
+	ga.queued[rank]++
+}
+
+// pop takes out the next item (rule 2).
+func (ga *Gate) pop() (Item, bool) {
+	for rank := range ga.queues {
+		var (
+			best   string
+			chosen *queue
+		)
+		for tenant, qu := range ga.queues[rank] {
+			if chosen == nil || ga.before(tenant, qu, best, chosen) {
+				best, chosen = tenant, qu
+			}
+		}
+		if chosen != nil {
+			it := heap.Pop(chosen).(Item)
+			ga.shrink(rank, best)
+			return it, true
+		}
+	}
+	return Item{}, false
+}
+
+func (ga *Gate) before(tenant string, qu *queue, other string, than *queue) bool {
+	if ga.running[tenant] != ga.running[other] {
+		return ga.running[tenant] < ga.running[other]
+	}
+	if !(*qu)[0].Deadline.Equal((*than)[0].Deadline) {
+		return (*qu)[0].Deadline.Before((*than)[0].Deadline)
+	}
+	return (*qu)[0].ID < (*than)[0].ID
+}
+
+func (ga *Gate) shrink(rank int, tenant string) {
+	ga.queued[rank]--
+	if ga.queues[rank][tenant].Len() == 0 {
+		delete(ga.queues[rank], tenant)
+	}
+}
+
+// evict takes out the item with the lowest priority below the rank and the
+// latest deadline.
+func (ga *Gate) evict(rank int) (Item, bool) {
+	for low := priorities - 1; low > rank; low-- {
+		var (
+			victim Item
+			found  bool
+		)
+		for _, qu := range ga.queues[low] {
+			for _, it := range *qu {
+				if !found || it.Deadline.After(victim.Deadline) {
+					victim, found = it, true
+				}
+			}
+		}
+		if found {
+			ga.Cancel(victim)
+			return victim, true
+		}
+	}
+	return Item{}, false
+}
+
+// queue is a heap of items by deadline; items without one come last.
+type queue []Item
+
+func (qu queue) Len() int { return len(qu) }
+
+func (qu queue) Less(lhs, rhs int) bool {
+	first, second := qu[lhs], qu[rhs]
+	if first.Deadline.IsZero() != second.Deadline.IsZero() {
+		return second.Deadline.IsZero()
+	}
+	if first.Deadline.Equal(second.Deadline) {
+		return first.ID < second.ID
+	}
+	return first.Deadline.Before(second.Deadline)
+}
+
+func (qu queue) Swap(lhs, rhs int) { qu[lhs], qu[rhs] = qu[rhs], qu[lhs] }
+
+// Push is for container/heap.
+func (qu *queue) Push(item any) { *qu = append(*qu, item.(Item)) }
+
+// Pop is for container/heap.
+func (qu *queue) Pop() any {
+	old := *qu
+	it := old[len(old)-1]
+	*qu = old[:len(old)-1]
+	return it
+}
--- /dev/null
+++ b/limit/rate.go
@@ -0,0 +1,60 @@
+// Package limit admits requests to a service: a window of requests in flight,
+// a bounded queue in front of it, early refusal of what cannot be served in
+// time, and the time to come back.
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+// Rate measures events per second with an exponential memory. The zero value
+// has a memory of DefaultMemory.
+type Rate struct {
+	// Memory is the time after which an event counts for 1/e.
+	Memory time.Duration
+
+	sum  float64
+	last time.Time
+	from time.Time
+}
+
+// DefaultMemory is the memory of a Rate that sets none.
+const DefaultMemory = 5 * time.Second
+
+func (ra *Rate) memory() time.Duration {
+	if ra.Memory <= 0 {
+		return DefaultMemory
+	}
+	return ra.Memory
+}
+
+// Add counts an event.
+func (ra *Rate) Add(now time.Time) {
+	if ra.from.IsZero() {
+		ra.from, ra.last = now, now
+	}
+	ra.decay(now)
+	ra.sum++
+}
+
+func (ra *Rate) decay(now time.Time) {
+	if gap := now.Sub(ra.last); gap > 0 {
+		ra.sum *= math.Exp(-gap.Seconds() / ra.memory().Seconds())
+		ra.last = now
+	}
+}
+
+// PerSecond is the present rate. It allows for a memory that is not full yet.
+func (ra *Rate) PerSecond(now time.Time) float64 {
+	if ra.from.IsZero() {
+		return 0
+	}
+	ra.decay(now)
+	memory := ra.memory().Seconds()
+	filled := 1 - math.Exp(-now.Sub(ra.from).Seconds()/memory)
+	if filled <= 0 {
+		return 0
+	}
+	return ra.sum / (memory * filled)
+}
--- /dev/null
+++ b/loan/phase.go
@@ -0,0 +1,111 @@
+package loan
+
+import (
+	"time"
+
+	"bilberryshelf/core"
+)
+
+// Phase is where a loan is in its life.
+type Phase string
+
+// The phases of a loan.
+const (
+	Future   Phase = "future"
+	Active   Phase = "active"
+	Draining Phase = "draining"
+	Returned Phase = "returned"
+	Recalled Phase = "recalled"
+)
+
+// End is when the targets go back: the end of the span or an earlier recall.
+func (lo Loan) End() time.Time {
+	if !lo.Recalled.IsZero() && lo.Recalled.Before(lo.Until) {
+		return lo.Recalled
+	}
+	return lo.Until
+}
+
+// Phase tells the phase at a time. Lead is how long before the end new work
+// stops, so that what runs can finish.
+func (lo Loan) Phase(now time.Time, lead time.Duration) Phase {
+	recalled := !lo.Recalled.IsZero() && lo.Recalled.Before(lo.Until)
+	switch {
+	case now.Before(lo.From):
+		return Future
+	case !now.Before(lo.End()) && recalled:
+		return Recalled
+	case !now.Before(lo.End()):
+		return Returned
+	case !now.Before(lo.End().Add(-lead)):
+		return Draining
+	default:
+		return Active
+	}
+}
+
+// Admit refuses new work under the loan unless it is active. Skew bounds how
+// far the clocks of two instances differ; it shortens the loan at its end.
+func (lo Loan) Admit(now time.Time, lead, skew time.Duration) *core.Error {
+	switch ph := lo.Phase(now, lead+skew); ph {
+	case Active:
+		return nil
+	case Future:
+		return core.Refuse(core.CodeNoLoan, "loan %s starts at %s", lo.ID, lo.From.Format(time.RFC3339)).
+			WithRetryAfter(lo.From.Sub(now))
+	case Draining:
+		return core.Refuse(core.CodeLoanEnding, "loan %s ends at %s, too soon for new work", lo.ID, lo.End().Format(time.RFC3339))
+	default:
+		return core.Refuse(core.CodeNoLoan, "loan %s is %s", lo.ID, ph)
+	}
+}
+
+// Share is the part of a loan's limit that one of its targets enforces. The
+// parts add up to the limit exactly; the first targets hold the remainder.
+// Zero means no limit, none is -1.
+func (lo Loan) Share(target string) int {
+	if lo.MaxInFlight == 0 {
+		return 0
+	}
+	for at, na := range lo.Targets {
+		if na != target {
+			continue
+		}
+		share := lo.MaxInFlight / len(lo.Targets)
+		if at < lo.MaxInFlight%len(lo.Targets) {
+			share++
+		}
+		if share == 0 {
+			return -1
+		}
+		return share
+	}
+	return -1
+}
+
+// Find returns the loan with the highest priority under which a borrower may
+// use a service now, or the refusal that says why there is none. Ended and
+// coming loans count only for the reason.
+func (bo Book) Find(borrower, service string, now time.Time) (Loan, *core.Error) {
+	var (
+		best  Loan
+		found bool
+		why   = core.Refuse(core.CodeNoLoan, "%s has no loan of %s", borrower, service)
+	)
+	for _, lo := range bo.Loans {
+		if lo.Borrower != borrower || lo.Service != service {
+			continue
+		}
+		if er := lo.Admit(now, 0, 0); er != nil {
+			why = er
+			continue
+		}
+		if !found || lo.Priority.Rank() < best.Priority.Rank() {
+			best, found = lo, true
+		}
+	}
+	if !found {
+		return Loan{}, why
+	}
+	return best, nil
+}
--- /dev/null
+++ b/retry/plan.go
@@ -0,0 +1,270 @@
+// Package retry decides what follows each attempt of a request: another
+// target, a settle question, the same target again, or the final answer.
+//
+// A plan follows these rules.
+//
+//  1. A refusal with not-run leaves no trace; the next target may be tried.
+//  2. A cut attempt of an idempotent request is tried elsewhere at once; its
+//     doubt stays in the verdict of a later failure.
+//  3. A cut attempt of a non-idempotent request is settled with its guard
+//     first. Forbidden counts as not-run. Running and ran lead back to the
+//     same guard, where the key joins the run or gets the kept answer.
+//     Unknown ends the request with may-have-run.
+//  4. A non-idempotent request is never sent to a second guard while a first
+//     one may have run it.
+//  5. A keyed request stays with its home: it is never sent elsewhere.
+//  6. Retries take from a budget shared by all requests, so that they stay a
+//     set share of the load. Settle questions and re-attachments do not run
+//     anything and take nothing.
+//  7. A refusal for lack of room, or because one side's configuration is
+//     behind, is not a failure: the request looks for a place again after a
+//     short wait, a set number of times.
+//  8. What cannot be decided before the deadline is answered at once with the
+//     verdict so far.
+package retry
+
+import (
+	"time"
+
+	"bilberryshelf/core"
+)
+
+// Event is what became of the last step.
+type Event string
+
+// The events.
+const (
+	// Refused means that the guard answered with a refusal.
+	Refused Event = "refused"
+	// Cut means that no whole answer arrived and none will on this stream.
+	Cut Event = "cut"
+	// Settled means that the guard answered a settle question.
+	Settled Event = "settled"
+	// Unsettled means that a settle question got no answer.
+	Unsettled Event = "unsettled"
+)
+
+// Move is what to do next.
+type Move string
+
+// The moves.
+const (
+	// Elsewhere sends the request to another target.
+	Elsewhere Move = "elsewhere"
+	// Again sends the request to the same target after the wait.
+	Again Move = "again"
+	// Attach sends the request to the same target to join its run.
+	Attach Move = "attach"
+	// Ask puts a settle question to the same guard.
+	Ask Move = "ask"
+	// Finish ends the request with the error.
+	Finish Move = "finish"
+)
+
+// The fence's answers to a settle question, as the plan reads them.
+const (
+	stateForbidden = "forbidden"
+	stateRunning   = "running"
+	stateRan       = "ran"
+)
+
+// Report is an event with its details.
+type Report struct {
+	Event Event
+	// Error is the refusal, or the failure of a cut stream.
+	Error *core.Error
+	// State is the answer to the settle question.
+	State string
+}
+
+// Next is a move with its details.
+type Next struct {
+	Move  Move
+	Wait  time.Duration
+	Error *core.Error
+}
+
+// Plan is the progress of one request. The zero value is a non-idempotent
+// request without a home and with no attempt left.
+type Plan struct {
+	// Idempotent allows a second run.
+	Idempotent bool
+	// Home binds the request to its first target (rule 5).
+	Home bool
+	// Left is the number of further attempts.
+	Left int
+	// Asks is the number of settle questions left.
+	Asks int
+	// Looks is the number of further looks for a place (rule 7).
+	Looks int
+	// Deadline is the end of the caller's patience.
+	Deadline time.Time
+
+	verdict core.Verdict
+	last    *core.Error
+}
+
+// Next takes the report of the last step and returns the next one. Budget
+// says whether a retry is affordable; it is asked only when one is wanted.
+func (pl *Plan) Next(now time.Time, re Report, budget func() bool) Next {
+	switch re.Event {
+	case Refused:
+		return pl.refused(now, re, budget)
+	case Cut:
+		return pl.cut(now, re, budget)
+	case Settled:
+		return pl.settled(now, re, budget)
+	default:
+		return pl.unsettled(now, re, budget)
+	}
+}
+
+func (pl *Plan) refused(now time.Time, re Report, budget func() bool) Next {
+	pl.last = re.Error
+	if re.Error.Verdict != core.NotRun {
+		pl.verdict = pl.verdict.And(re.Error.Verdict)
+		if !pl.Idempotent || pl.Home { // rules 3 and 4
+			return pl.finish()
+		}
+		return pl.retry(now, budget)
+	}
+	if pl.verdict != "" && !pl.Idempotent { // rule 4
+		return pl.finish()
+	}
+	if passing(re.Error.Code) {
+		return pl.look(now)
+	}
+	return pl.retry(now, budget)
+}
+
+const (
+	// leastLook is the shortest wait before a place is looked for again.
+	leastLook = 5 * time.Millisecond
+	// mostLook is the longest.
+	mostLook = 250 * time.Millisecond
+)
+
+// look waits for a place (rule 7).
+func (pl *Plan) look(now time.Time) Next {
+	wait := min(max(pl.last.RetryAfter, leastLook), mostLook)
+	if pl.Looks == 0 || !now.Add(wait).Before(pl.Deadline) {
+		return pl.finish()
+	}
+	pl.Looks--
+	if pl.Home {
+		return Next{Move: Again, Wait: wait}
+	}
+	return Next{Move: Elsewhere, Wait: wait}
+}
+
+// passing reports the refusals that a moment may lift.
+func passing(code core.Code) bool {
+	switch code {
+	case core.CodeFull, core.CodeLoanLimit, core.CodeStaleRevision, core.CodeNotReady, core.CodeOldIncarnation:
+		return true
+	default:
+		return false
+	}
+}
+
+func (pl *Plan) cut(now time.Time, re Report, budget func() bool) Next {
+	pl.last = re.Error
+	if pl.Idempotent { // rule 2
+		pl.verdict = pl.verdict.And(core.MayHaveRun)
+		return pl.retry(now, budget)
+	}
+	if pl.Asks == 0 || !now.Before(pl.Deadline) {
+		pl.verdict = pl.verdict.And(core.MayHaveRun)
+		return pl.finish()
+	}
+	pl.Asks--
+	return Next{Move: Ask}
+}
+
+func (pl *Plan) settled(now time.Time, re Report, budget func() bool) Next {
+	switch re.State {
+	case stateForbidden:
+		return pl.retry(now, budget)
+	case stateRunning, stateRan:
+		if pl.Left > 0 && now.Before(pl.Deadline) {
+			pl.Left--
+			return Next{Move: Attach}
+		}
+		pl.verdict = core.MayHaveRun
+		if re.State == stateRan {
+			pl.verdict = core.Ran
+		}
+		return pl.finish()
+	}
+	pl.verdict = pl.verdict.And(core.MayHaveRun)
+	return pl.finish()
+}
+
+func (pl *Plan) unsettled(now time.Time, re Report, _ func() bool) Next {
+	if re.Error != nil {
+		pl.last = re.Error
+	}
+	if pl.Asks > 0 && now.Before(pl.Deadline) {
+		pl.Asks--
+		return Next{Move: Ask}
+	}
+	pl.verdict = pl.verdict.And(core.MayHaveRun)
+	return pl.finish()
+}
+
+// retry spends an attempt, or finishes.
+func (pl *Plan) retry(now time.Time, budget func() bool) Next {
+	if pl.last != nil && final(pl.last.Code) {
+		return pl.finish()
+	}
+	wait := time.Duration(0)
+	if pl.Home && pl.last != nil {
+		wait = pl.last.RetryAfter
+	}
+	if pl.Left == 0 || !now.Add(wait).Before(pl.Deadline) {
+		return pl.finish()
+	}
+	if !budget() { // rule 6
+		return pl.finish()
+	}
+	pl.Left--
+	if pl.Home {
+		return Next{Move: Again, Wait: wait}
+	}
+	return Next{Move: Elsewhere}
+}
+
+// final reports the refusals that no other target would answer otherwise.
+func final(code core.Code) bool {
+	switch code {
+	case core.CodeKeyConflict, core.CodeNoLoan, core.CodePoison, core.CodeBadRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+// finish makes the final error: the last reason with the verdict of all
+// attempts together.
+func (pl *Plan) finish() Next {
+	er := pl.last
+	if er == nil {
+		er = core.Refuse(core.CodeNoTarget, "no target answered")
+	}
+	if er.Verdict != core.NotRun || pl.verdict != "" {
+		er = er.WithVerdict(pl.combined(er))
+	}
+	return Next{Move: Finish, Error: er}
+}
+
+// combined leaves out the doubt of a cut attempt that a settle question
+// resolved: its error carries may-have-run, the plan's verdict does not.
+func (pl *Plan) combined(er *core.Error) core.Verdict {
+	if pl.verdict == "" {
+		return core.NotRun
+	}
+	return pl.verdict.And(er.Verdict)
+}
+
+// GiveUp ends a request that cannot go on, with the verdict so far.
+func (pl *Plan) GiveUp() *core.Error { return pl.finish().Error }
--- /dev/null
+++ b/store/table.go
@@ -0,0 +1,140 @@
+package store
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/credentials"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/aws/smithy-go"
+	"github.com/cockroachdb/errors"
+)
+
+// Access is where a platform service is and how to be let in.
+type Access struct {
+	URL     string
+	Region  string
+	KeyID   string
+	Secret  string
+	Timeout time.Duration
+}
+
+// defaultTimeout bounds one call when Access sets no bound.
+const defaultTimeout = 2 * time.Second
+
+func (ac Access) timeout() time.Duration {
+	if ac.Timeout <= 0 {
+		return defaultTimeout
+	}
+	return ac.Timeout
+}
+
+func (ac Access) region() string {
+	if ac.Region == "" {
+		return "local"
+	}
+	return ac.Region
+}
+
+func (ac Access) credentials() aws.CredentialsProvider {
+	return credentials.NewStaticCredentialsProvider(ac.KeyID, ac.Secret, "")
+}
+
+func (ac Access) client() *http.Client { return &http.Client{Timeout: ac.timeout()} }
+
+// Table is the platform's transactional table service.
+type Table struct {
+	client *dynamodb.Client
+	name   string
+}
+
+// keyAttribute is the primary key of the table.
+const keyAttribute = "key"
+
+// NewTable connects to a table. The library's own retries are off: whether a
+// write may be sent again is decided here.
+func NewTable(ac Access, name string) *Table {
+	return &Table{name: name, client: dynamodb.New(dynamodb.Options{
+		BaseEndpoint:     aws.String(ac.URL),
+		Region:           ac.region(),
+		Credentials:      ac.credentials(),
+		HTTPClient:       ac.client(),
+		RetryMaxAttempts: 1,
+	})}
+}
+
+// Get reads one row. It returns ErrNoRow if there is none.
+func (ta *Table) Get(ctx context.Context, key string) (Row, error) {
+	out, err := ta.client.GetItem(ctx, &dynamodb.GetItemInput{
+		TableName:      aws.String(ta.name),
+		ConsistentRead: aws.Bool(true),
+		Key:            map[string]types.AttributeValue{keyAttribute: text(key)},
+	})
+	if err != nil {
+		return nil, errors.Wrapf(err, "read row %s", key)
+	}
+	if len(out.Item) == 0 {
+		return nil, ErrNoRow
+	}
+	row := Row{}
+	for na, value := range out.Item {
+		if member, ok := value.(*types.AttributeValueMemberS); ok && na != keyAttribute {
+			row[na] = member.Value
+		}
+	}
+	return row, nil
+}
+
+// Transact writes all rows or none. It returns ErrCondition when a condition
+// did not hold; any other error leaves open whether it took effect.
+func (ta *Table) Transact(ctx context.Context, puts []Put) error {
+	items := make([]types.TransactWriteItem, 0, len(puts))
+	for _, pu := range puts {
+		items = append(items, types.TransactWriteItem{Put: ta.put(pu)})
+	}
+	_, err := ta.client.TransactWriteItems(ctx, &dynamodb.TransactWriteItemsInput{TransactItems: items})
+	var cancelled *types.TransactionCanceledException
+	if errors.As(err, &cancelled) && failedCondition(cancelled) {
+		return ErrCondition
+	}
+	return errors.Wrap(err, "write rows")
+}
+
+func failedCondition(cancelled *types.TransactionCanceledException) bool {
+	for _, re := range cancelled.CancellationReasons {
+		if aws.ToString(re.Code) == "ConditionalCheckFailed" {
+			return true
+		}
+	}
+	return false
+}
+
+func (ta *Table) put(pu Put) *types.Put {
+	item := map[string]types.AttributeValue{keyAttribute: text(pu.Key)}
+	for na, value := range pu.Row {
+		item[na] = text(value)
+	}
+	put := &types.Put{TableName: aws.String(ta.name), Item: item}
+	switch pu.When.Kind {
+	case KindAbsent:
+		put.ConditionExpression = aws.String("attribute_not_exists(#k)")
+		put.ExpressionAttributeNames = map[string]string{"#k": keyAttribute}
+	case KindEquals:
+		put.ConditionExpression = aws.String("#a = :v")
+		put.ExpressionAttributeNames = map[string]string{"#a": pu.When.Attribute}
+		put.ExpressionAttributeValues = map[string]types.AttributeValue{":v": text(pu.When.Value)}
+	}
+	return put
+}
+
+func text(value string) types.AttributeValue { return &types.AttributeValueMemberS{Value: value} }
+
+// IsRefusal reports whether the service answered that it did not take a
+// write, as opposed to an answer that is missing.
+func IsRefusal(err error) bool {
+	var api smithy.APIError
+	return errors.As(err, &api) && api.ErrorFault() == smithy.FaultClient
+}
--- /dev/null
+++ b/subcmd/subcmd.go
@@ -0,0 +1,168 @@
+// Package subcmd is the command line of bilberryshelf: the daemons, the
+// operator's commands and the demonstration.
+package subcmd
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"bilberryshelf/core"
+)
+
+// The exit codes. They are stable.
+const (
+	ExitOK = 0
+	// ExitFailed means that the command failed and it is known what was done.
+	ExitFailed = 1
+	// ExitUsage means that the command line or a settings file is wrong.
+	ExitUsage = 2
+	// ExitRefused means that a sheet or a change was refused; nothing was done.
+	ExitRefused = 3
+	// ExitUnsettled means that it is not known whether a change was accepted;
+	// settle tells.
+	ExitUnsettled = 4
+)
+
+// exitError carries an exit code.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (ex *exitError) Error() string { return ex.err.Error() }
+
+func exit(code int, err error) error { return &exitError{code: code, err: err} }
+
+// command describes one subcommand. The table of commands is the whole of the
+// documentation that the help prints.
+type command struct {
+	name    string
+	title   string
+	text    string
+	example string
+	data    func(out io.Writer) any
+}
+
+var commands = []command{
+	{
+		name: "entry", title: "run an entry",
+		text:    "Runs an entry: the interface for callers, trainers and operators. SIGTERM drains it. Exit codes: 0 after a drain, 1 if it failed, 2 for wrong settings.",
+		example: "bilberryshelf entry --settings entry.toml",
+		data:    func(io.Writer) any { return &entryCommand{} },
+	},
+	{
+		name: "guard", title: "run the guard of a target",
+		text:    "Runs the guard beside one target. SIGTERM drains it: no new work, what runs goes on, the keys are handed over. Exit codes: 0 after a drain, 1 if it failed, 2 for wrong settings.",
+		example: "bilberryshelf guard --settings guard.toml",
+		data:    func(io.Writer) any { return &guardCommand{} },
+	},
+	{
+		name: "apply", title: "apply a sheet",
+		text:    "Checks a sheet whole and gets it accepted. With --dry-run prints the difference. Exit codes: 0 accepted or unchanged, 3 refused with every fault by row and column, 4 not known whether accepted (run settle).",
+		example: "bilberryshelf apply --dry-run morning.csv",
+		data:    func(out io.Writer) any { return &applyCommand{out: out} },
+	},
+	{
+		name: "status", title: "show generation, loans and targets",
+		text:    "Shows what one entry knows. Exit codes: 0, 1 if the entry does not answer.",
+		example: "bilberryshelf status",
+		data:    func(out io.Writer) any { return &statusCommand{out: out} },
+	},
+	{
+		name: "loan", title: "explain a loan",
+		text:    "Explains one loan: its phase, its limits at each target, who changed it last, and why new work is or is not admitted. Exit codes: 0, 3 if there is no such loan.",
+		example: "bilberryshelf loan desk-day",
+		data:    func(out io.Writer) any { return &loanCommand{out: out} },
+	},
+	{
+		name: "recall", title: "ask for a loan's targets back early",
+		text:    "Ends a loan before its span is over. What runs may finish. Exit codes: 0 accepted, 3 refused, 4 not known whether accepted (run settle).",
+		example: "bilberryshelf recall desk-day --at 2026-03-02T15:00:00Z",
+		data:    func(out io.Writer) any { return &recallCommand{out: out} },
+	},
+	{
+		name: "weights", title: "announce new weights",
+		text:    "Announces a version of a service's weights with a trainer's token. Exit codes: 0 accepted, 3 refused, 4 not known whether accepted (announce it again).",
+		example: "bilberryshelf weights blend-lm 7 http://10.0.0.9:9000/weights/blend-lm/7",
+		data:    func(out io.Writer) any { return &weightsCommand{out: out} },
+	},
+	{
+		name: "settle", title: "find out what became of an operation",
+		text:    "Says for good whether an operation was accepted. One that was not is withdrawn and never will be. Exit codes: 0 accepted, 3 withdrawn, 4 the platform does not answer.",
+		example: "bilberryshelf settle 5d0c2f0e-6a51-4f0d-8e0a-1d3a3f8b7c11",
+		data:    func(out io.Writer) any { return &settleCommand{out: out} },
+	},
+	{
+		name: "check-settings", title: "check a settings file",
+		text:    "Checks a settings file of an entry or, with --guard, of a guard, and prints every fault with file, line and key. Exit codes: 0 whole, 2 faults.",
+		example: "bilberryshelf check-settings --guard guard.toml",
+		data:    func(out io.Writer) any { return &checkCommand{out: out} },
+	},
+	{
+		name: "version", title: "print the version",
+		text:    "Prints the version of the program and of the toolchain. Exit code: 0.",
+		example: "bilberryshelf version",
+		data:    func(out io.Writer) any { return &versionCommand{out: out} },
+	},
+	{
+		name: "demo", title: "show the whole path in one process",
+		text:    "Starts a platform, targets, guards and an entry in one process on loopback, applies a sample sheet, serves one desk request, one non-idempotent check and one trainer step, and prints what happened. With --serve it stays up. Exit codes: 0, 1 if anything did not come out as promised.",
+		example: "bilberryshelf demo --serve",
+		data:    func(out io.Writer) any { return &demoCommand{out: out} },
+	},
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, out, errs io.Writer) int {
+	parser := flags.NewNamedParser("bilberryshelf", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "A rollout service for reinforcement learning on targets that are lent."
+	for _, co := range commands {
+		if _, err := parser.AddCommand(co.name, co.title, co.text+"\n\nExample: "+co.example, co.data(out)); err != nil {
+			fmt.Fprintln(errs, err) //nolint:errcheck // there is nowhere else to say it
+			return ExitUsage
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	return code(err, out, errs)
+}
+
+func code(err error, out, errs io.Writer) int {
+	var (
+		help *flags.Error
+		ex   *exitError
+		er   *core.Error
+	)
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &help) && help.Type == flags.ErrHelp:
+		fmt.Fprintln(out, help.Message) //nolint:errcheck // help that nobody reads
+		return ExitOK
+	case errors.As(err, &help):
+		fmt.Fprintln(errs, help.Message) //nolint:errcheck // there is nowhere else to say it
+		return ExitUsage
+	}
+	fmt.Fprintln(errs, strings.TrimSpace(err.Error())) //nolint:errcheck // there is nowhere else to say it
+	switch {
+	case errors.As(err, &ex):
+		return ex.code
+	case errors.As(err, &er) && er.Verdict == core.MayHaveRun:
+		return ExitUnsettled
+	case errors.As(err, &er):
+		return ExitRefused
+	}
+	return ExitFailed
+}
+
+// Access is how the operator's commands reach the system.
+type Access struct {
+	URL      string `long:"url" default:"http://127.0.0.1:7000" env:"BILBERRYSHELF_URL" description:"the balancer or any entry"`
+	TokenEnv string `long:"token-env" default:"BILBERRYSHELF_TOKEN" description:"the variable of the environment that holds the token"`
+}
+
+func (ac Access) token() string { return os.Getenv(ac.TokenEnv) }
