--- /dev/null
+++ b/bench/checks.go
@@ -0,0 +1,183 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bilberryshelf/core"
+)
+
+type checksCommand struct {
+	tokenFlags
+	Entries  []string      `long:"entry" required:"yes" description:"an entry; give several"`
+	Services []string      `long:"runs" required:"yes" description:"a stand-in service to read the runs from; give several"`
+	Service  string        `long:"service" required:"yes"`
+	Rate     float64       `long:"rate" default:"100"`
+	For      time.Duration `long:"for" default:"20s"`
+	Timeout  time.Duration `long:"timeout" default:"5s"`
+	Name     string        `long:"name" default:"run" description:"prefix of the bodies, new for each run"`
+	Settle   time.Duration `long:"settle" default:"3s" description:"wait before the runs are read"`
+	out      io.Writer
+}
+
+// check is one request and all its verdicts, in the order of its sends.
+type check struct {
+	body     string
+	keyed    bool
+	verdicts []core.Verdict
+}
+
+// checksReport is the output: how requests ended, and every broken promise.
+type checksReport struct {
+	Sent       int `json:"sent"`
+	Answered   int `json:"answered"`
+	NotRun     int `json:"not-run"`
+	MayHaveRun int `json:"may-have-run"`
+	NoAnswer   int `json:"no-answer"`
+	RanOnce    int `json:"ran-once"`
+	RanInDoubt int `json:"ran-of-in-doubt"`
+	Doubled    int `json:"doubled"`
+	FalseNot   int `json:"false-not-run"`
+	FalseRan   int `json:"answered-without-run"`
+	Resent     int `json:"resent"`
+}
+
+// noAnswer stands for a connection that broke before any verdict came.
+const noAnswer core.Verdict = "no-answer"
+
+// Execute sends the checks and compares verdicts with runs. A keyed check that
+// got no answer, or one in doubt, is sent again through another entry.
+func (co *checksCommand) Execute([]string) error {
+	var (
+		wait   sync.WaitGroup
+		total  = int(co.Rate * co.For.Seconds())
+		checks = make([]check, total)
+		client = manyConnections()
+		began  = time.Now()
+	)
+	for number := range total {
+		time.Sleep(time.Until(began.Add(time.Duration(float64(number) / co.Rate * float64(time.Second)))))
+		ch := &checks[number]
+		ch.body, ch.keyed = fmt.Sprintf("%s-%d", co.Name, number), number%2 == 0
+		wait.Go(func() { co.follow(client, number, ch) })
+	}
+	wait.Wait()
+	time.Sleep(co.Settle)
+	runs, err := co.readRuns()
+	if err != nil {
+		return err
+	}
+	re := judge(checks, runs)
+	if err := printJSON(co.out, re); err != nil {
+		return err
+	}
+	if re.Doubled+re.FalseNot+re.FalseRan > 0 {
+		return errors.New("a promise was broken")
+	}
+	return nil
+}
+
+// mostSends bounds the sends of one check.
+const mostSends = 3
+
+func (co *checksCommand) follow(client *http.Client, number int, ch *check) {
+	for send := range mostSends {
+		entry := co.Entries[(number+send)%len(co.Entries)]
+		ve := co.send(client, entry, ch)
+		ch.verdicts = append(ch.verdicts, ve)
+		if !ch.keyed || ve == core.Ran || ve == core.NotRun {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+func (co *checksCommand) send(client *http.Client, entry string, ch *check) core.Verdict {
+	ctx, cancel := context.WithTimeout(context.Background(), co.Timeout+2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+"/services/"+co.Service+"/lots", strings.NewReader(ch.body))
+	if err != nil {
+		return noAnswer
+	}
+	req.Header.Set("Authorization", "Bearer "+co.token())
+	req.Header.Set("Bilberryshelf-Timeout", co.Timeout.String())
+	if ch.keyed {
+		req.Header.Set("Idempotency-Key", ch.body)
+	}
+	// The library sends a keyed request again on its own when a connection
+	// breaks; here every send is to be counted.
+	req.GetBody = nil
+	res, err := client.Do(req)
+	if err != nil {
+		return noAnswer
+	}
+	defer res.Body.Close() //nolint:errcheck // read below
+	if _, err := io.ReadAll(res.Body); err != nil {
+		return noAnswer
+	}
+	return core.Verdict(res.Header.Get("Bilberryshelf-Verdict"))
+}
+
+func (co *checksCommand) readRuns() (map[string]int, error) {
+	runs := map[string]int{}
+	for _, url := range co.Services {
+		res, err := http.Get(url + "/runs") //nolint:noctx,gosec // a stand-in on loopback
+		if err != nil {
+			return nil, errors.Wrap(err, "read the runs")
+		}
+		var part map[string]int
+		err = json.NewDecoder(res.Body).Decode(&part)
+		res.Body.Close() //nolint:errcheck // read above
+		if err != nil {
+			return nil, errors.Wrap(err, "read the runs")
+		}
+		for body, count := range part {
+			runs[body] += count
+		}
+	}
+	return runs, nil
+}
+
+func judge(checks []check, runs map[string]int) checksReport {
+	var re checksReport
+	for _, ch := range checks {
+		re.Sent++
+		re.Resent += len(ch.verdicts) - 1
+		ran := runs[ch.body]
+		last := ch.verdicts[len(ch.verdicts)-1]
+		switch last {
+		case core.Ran:
+			re.Answered++
+		case core.NotRun:
+			re.NotRun++
+		case noAnswer:
+			re.NoAnswer++
+		default:
+			re.MayHaveRun++
+		}
+		switch {
+		case ran > 1:
+			re.Doubled++
+		case ran == 1:
+			re.RanOnce++
+		}
+		if ran > 0 && last == core.NotRun {
+			re.FalseNot++
+		}
+		if ran == 0 && last == core.Ran {
+			re.FalseRan++
+		}
+		if ran > 0 && last != core.Ran && last != core.NotRun {
+			re.RanInDoubt++
+		}
+	}
+	return re
+}
