retry: a refused attempt to join no longer sends a running request elsewhere

Cause: after a settle question was answered with running or ran, the plan kept no doubt. Ruled out: the table of attempts (its answers were right), the network model (the same happens with every message in order). Conclusion: from the answer running or ran on, the request counts as run.

--- a/fence/table.go
+++ b/fence/table.go
@@ -322,3 +322,9 @@
 	_, known := ta.keys[key]
 	return known
 }
+
+// Known reports whether the attempt is remembered.
+func (ta *Table) Known(id core.ID) bool {
+	_, known := ta.attempts[id]
+	return known
+}
--- /dev/null
+++ b/retry/model_test.go
@@ -0,0 +1,588 @@
+package retry_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"bilberryshelf/core"
+	"bilberryshelf/fence"
+	"bilberryshelf/retry"
+)
+
+// This is a model of callers, entries, guards and targets around the real
+// plan and the real table. Every step is drawn: a message arrives, is lost or
+// stays under way, a stream is cut while its request is still under way, a
+// process dies, time passes between any two steps. The model counts what the
+// targets truly ran.
+
+// mutant switches off one part of the design, to show that the model notices.
+type mutant struct {
+	noSettle     bool // a cut attempt is taken for one that did not run
+	noTombstone  bool // settle says forbidden without forbidding
+	noDeadline   bool // the guard does not check deadlines
+	noKeys       bool // the guard forgets keys
+	noQuarantine bool // a restarted guard trusts its empty table
+	noCommit     bool // the deadline is not checked again before the first byte
+}
+
+// chooser draws numbers below a bound.
+type chooser func(label string, below int) int
+
+const (
+	modelStartWithin = 50 * time.Millisecond
+	modelGrace       = 100 * time.Millisecond
+	modelHold        = 500 * time.Millisecond
+	modelPatience    = 250 * time.Millisecond
+	modelGuards      = 3
+	modelEntries     = 2
+	modelMostSends   = 6
+)
+
+// call is one request of a caller, with all its sends.
+type call struct {
+	number     int
+	idempotent bool
+	keyed      bool
+	first      time.Time
+	runs       int
+	// notRun is set once a verdict claimed that it did not run.
+	notRun   bool
+	answered bool
+	open     int
+}
+
+func (ca *call) key() string {
+	if ca.keyed {
+		return fmt.Sprintf("key-%d", ca.number)
+	}
+	return ""
+}
+
+type sendPhase string
+
+const (
+	placing    sendPhase = "placing"
+	attempting sendPhase = "attempting"
+	asking     sendPhase = "asking"
+	over       sendPhase = "over"
+)
+
+// send is one send of a call at an entry.
+type send struct {
+	number int
+	call   *call
+	entry  int
+	plan   retry.Plan
+	phase  sendPhase
+	guard  int
+	again  bool
+	tried  []int
+	id     core.ID
+	inc    uint64
+	key    string
+}
+
+type messageKind string
+
+const (
+	dispatchMessage messageKind = "dispatch"
+	replyMessage    messageKind = "reply"
+	settleMessage   messageKind = "settle"
+	settledMessage  messageKind = "settled"
+)
+
+type message struct {
+	kind   messageKind
+	send   *send
+	guard  int
+	id     core.ID
+	inc    uint64
+	until  time.Time
+	key    string
+	idem   bool
+	number int
+	err    *core.Error
+	state  fence.Settled
+}
+
+// running is an admitted attempt at a guard.
+type running struct {
+	msg       message
+	committed bool
+	waiters   []message
+}
+
+type guardModel struct {
+	table   fence.Table
+	runs    []*running
+	started time.Time
+}
+
+type world struct {
+	mutant  mutant
+	draw    chooser
+	now     time.Time
+	calls   []*call
+	sends   []*send
+	guards  []*guardModel
+	known   [modelEntries][modelGuards]uint64
+	net     []message
+	nextID  uint64
+	nextInc uint64
+	fault   string
+	trace   func(format string, args ...any)
+}
+
+// origin is the time at which the model starts.
+var origin = time.Unix(1000, 0)
+
+func (wo *world) tell(format string, args ...any) {
+	if wo.trace != nil {
+		wo.trace(format, args...)
+	}
+}
+
+func newWorld(mu mutant, draw chooser) *world {
+	wo := &world{mutant: mu, draw: draw, now: origin}
+	for at := range modelGuards {
+		wo.guards = append(wo.guards, &guardModel{})
+		wo.freshTable(at)
+		wo.guards[at].table.Quarantine = time.Time{}
+	}
+	for en := range wo.known {
+		for gu := range wo.known[en] {
+			wo.known[en][gu] = wo.guards[gu].table.Incarnation
+		}
+	}
+	return wo
+}
+
+func (wo *world) freshTable(at int) {
+	wo.nextInc++
+	gu := wo.guards[at]
+	gu.started = wo.now
+	gu.table = fence.Table{Incarnation: wo.nextInc, Grace: modelGrace, Space: 1000, Quarantine: wo.now.Add(modelHold)}
+	if wo.mutant.noQuarantine {
+		gu.table.Quarantine = time.Time{}
+	}
+	gu.runs = nil
+}
+
+type action struct {
+	weight int
+	do     func()
+}
+
+// step draws one action among those that are possible.
+func (wo *world) step() {
+	actions := []action{{4, wo.advance}, {3, wo.newSend}, {1, wo.restartGuard}, {1, wo.loseTarget}, {1, wo.crashEntry}, {2, wo.hello}, {1, wo.sweep}}
+	if len(wo.net) > 0 {
+		actions = append(actions, action{12, wo.deliver}, action{2, wo.lose}, action{1, wo.cross})
+	}
+	if len(wo.sends) > 0 {
+		actions = append(actions, action{4, wo.cut}, action{8, wo.place})
+	}
+	actions = append(actions, action{8, wo.commit}, action{8, wo.finish})
+	total := 0
+	for _, ac := range actions {
+		total += ac.weight
+	}
+	pick := wo.draw("action", total)
+	for _, ac := range actions {
+		if pick -= ac.weight; pick < 0 {
+			ac.do()
+			break
+		}
+	}
+	wo.check()
+}
+
+func (wo *world) advance() {
+	wo.now = wo.now.Add(time.Duration(1+wo.draw("millis", 60)) * time.Millisecond)
+}
+
+func (wo *world) newSend() {
+	if len(wo.sends) < modelMostSends && wo.draw("fresh", 2) == 0 {
+		kind := wo.draw("kind", 3)
+		ca := &call{number: len(wo.calls), idempotent: kind == 0, keyed: kind == 1, first: wo.now}
+		wo.calls = append(wo.calls, ca)
+		wo.sendCall(ca)
+		return
+	}
+	var again []*call
+	for _, ca := range wo.calls {
+		if ca.keyed && !ca.answered && wo.now.Sub(ca.first) < modelHold-modelStartWithin-modelPatience {
+			again = append(again, ca)
+		}
+	}
+	if len(again) > 0 && len(wo.sends) < modelMostSends {
+		wo.sendCall(again[wo.draw("again", len(again))])
+	}
+}
+
+func (wo *world) sendCall(ca *call) {
+	se := &send{
+		number: len(wo.sends), call: ca, entry: wo.draw("entry", modelEntries), phase: placing,
+		plan: retry.Plan{
+			Idempotent: ca.idempotent, Home: ca.keyed, Left: 2, Asks: 2, Looks: 3,
+			Deadline: wo.now.Add(modelPatience),
+		},
+	}
+	se.key = ca.key()
+	if se.key == "" && !ca.idempotent {
+		se.key = fmt.Sprintf("send-%d", se.number)
+	}
+	ca.open++
+	wo.sends = append(wo.sends, se)
+}
+
+func (wo *world) pickSend(phase sendPhase) *send {
+	var found []*send
+	for _, se := range wo.sends {
+		if se.phase == phase {
+			found = append(found, se)
+		}
+	}
+	if len(found) == 0 {
+		return nil
+	}
+	return found[wo.draw("send", len(found))]
+}
+
+// place sends an attempt of a request that waits for one.
+func (wo *world) place() {
+	se := wo.pickSend(placing)
+	if se == nil {
+		return
+	}
+	if !se.again {
+		se.guard = wo.choose(se)
+	}
+	se.again = false
+	wo.nextID++
+	se.id = core.ID{byte(wo.nextID), byte(wo.nextID >> 8)}
+	se.inc = wo.known[se.entry][se.guard]
+	se.phase = attempting
+	wo.net = append(wo.net, message{
+		kind: dispatchMessage, send: se, guard: se.guard, id: se.id, inc: se.inc,
+		until: wo.now.Add(modelStartWithin), key: se.key, idem: se.call.idempotent, number: se.call.number,
+	})
+}
+
+func (wo *world) choose(se *send) int {
+	if se.call.keyed {
+		return se.call.number % modelGuards
+	}
+	var free []int
+	for at := range modelGuards {
+		if !slices.Contains(se.tried, at) {
+			free = append(free, at)
+		}
+	}
+	if len(free) == 0 {
+		return wo.draw("guard", modelGuards)
+	}
+	return free[wo.draw("guard", len(free))]
+}
+
+func (wo *world) take() message {
+	at := wo.draw("message", len(wo.net))
+	me := wo.net[at]
+	wo.net = slices.Delete(wo.net, at, at+1)
+	return me
+}
+
+func (wo *world) lose() { wo.take() }
+
+func (wo *world) deliver() {
+	me := wo.take()
+	wo.tell("deliver %s of call %d id %x guard %d err %v state %s", me.kind, me.send.call.number, me.id[0], me.guard, me.err, me.state)
+	switch me.kind {
+	case dispatchMessage:
+		wo.arrive(me)
+	case settleMessage:
+		wo.settle(me)
+	case replyMessage:
+		wo.reply(me, me.send)
+	case settledMessage:
+		if me.send.phase == asking && me.send.id == me.id {
+			wo.report(me.send, retry.Report{Event: retry.Settled, State: string(me.state)})
+		}
+	}
+}
+
+// cross brings a reply to a send that it was not meant for.
+func (wo *world) cross() {
+	me := wo.take()
+	se := wo.pickSend(attempting)
+	if me.kind == replyMessage && se != nil {
+		wo.reply(me, se)
+	}
+}
+
+func (wo *world) arrive(me message) {
+	gu := wo.guards[me.guard]
+	ti := fence.Ticket{
+		ID: me.id, Incarnation: me.inc, Deadline: me.until, Key: me.key, KeyHold: modelHold,
+		Digest: uint64(me.number), Idempotent: me.idem,
+	}
+	if wo.mutant.noKeys {
+		ti.Key = ""
+	}
+	now := wo.now
+	if wo.mutant.noDeadline {
+		ti.Deadline = wo.now.Add(time.Hour)
+	}
+	pass, kept, er := gu.table.Begin(now, ti)
+	switch {
+	case er != nil:
+		wo.answer(me, er)
+	case pass == fence.Run:
+		gu.runs = append(gu.runs, &running{msg: me})
+	case pass == fence.Join:
+		for _, ru := range gu.runs {
+			if ru.msg.key == me.key {
+				ru.waiters = append(ru.waiters, me)
+			}
+		}
+	default:
+		me.number = kept.(int)
+		wo.answer(me, nil)
+	}
+}
+
+func (wo *world) answer(me message, er *core.Error) {
+	me.kind, me.err = replyMessage, er
+	wo.net = append(wo.net, me)
+}
+
+// commit lets an admitted attempt give its first byte to the target.
+func (wo *world) commit() {
+	gu := wo.guards[wo.draw("guard", modelGuards)]
+	for at, ru := range gu.runs {
+		if ru.committed {
+			continue
+		}
+		now := wo.now
+		if wo.mutant.noCommit {
+			now = time.Unix(0, 0)
+		}
+		if er := gu.table.Commit(now, ru.msg.id); er != nil {
+			gu.runs = slices.Delete(gu.runs, at, at+1)
+			wo.answer(ru.msg, er)
+			wo.release(ru)
+			return
+		}
+		ru.committed = true
+		if !wo.mutant.noDeadline && !wo.now.Before(ru.msg.until) {
+			wo.fault = fmt.Sprintf("call %d started after its deadline", ru.msg.number)
+		}
+		wo.tell("commit call %d id %x", ru.msg.number, ru.msg.id[0])
+		wo.calls[ru.msg.number].runs++
+		return
+	}
+}
+
+// release asks the table again for those who waited for a run.
+func (wo *world) release(ru *running) {
+	for _, me := range ru.waiters {
+		wo.arrive(me)
+	}
+}
+
+func (wo *world) finish() { wo.endRun(wo.draw("guard", modelGuards), fence.Done) }
+
+func (wo *world) endRun(guard int, oc fence.Outcome) {
+	gu := wo.guards[guard]
+	for at, ru := range gu.runs {
+		if !ru.committed {
+			continue
+		}
+		gu.runs = slices.Delete(gu.runs, at, at+1)
+		if oc == fence.Done {
+			gu.table.Finish(wo.now, ru.msg.id, oc, ru.msg.number, 1)
+			wo.answer(ru.msg, nil)
+		} else {
+			gu.table.Finish(wo.now, ru.msg.id, oc, nil, 0)
+			wo.answer(ru.msg, core.Doubt(core.CodeTargetLost, "lost"))
+		}
+		wo.release(ru)
+		return
+	}
+}
+
+// loseTarget kills a target with all that runs on it.
+func (wo *world) loseTarget() {
+	guard := wo.draw("guard", modelGuards)
+	wo.tell("target %d dies", guard)
+	for range len(wo.guards[guard].runs) {
+		wo.endRun(guard, fence.Lost)
+	}
+}
+
+// restartGuard kills a guard, or lets it leave in order if nothing runs. The
+// runs that the target has been given go on without it.
+func (wo *world) restartGuard() {
+	at := wo.draw("guard", modelGuards)
+	gu := wo.guards[at]
+	planned := len(gu.runs) == 0 && wo.draw("planned", 2) == 0 && !wo.now.Before(gu.table.Quarantine)
+	raw, err := gu.table.Pack()
+	wo.freshTable(at)
+	wo.tell("guard %d restarts, planned %v", at, planned)
+	if planned && err == nil {
+		if err := gu.table.Unpack(raw); err != nil {
+			wo.fault = err.Error()
+		}
+	}
+}
+
+func (wo *world) crashEntry() {
+	entry := wo.draw("entry", modelEntries)
+	for _, se := range wo.sends {
+		if se.entry == entry && se.phase != over {
+			se.phase = over
+			se.call.open--
+		}
+	}
+}
+
+func (wo *world) sweep() {
+	for _, gu := range wo.guards {
+		gu.table.Sweep(wo.now)
+	}
+}
+
+func (wo *world) hello() {
+	en, gu := wo.draw("entry", modelEntries), wo.draw("guard", modelGuards)
+	wo.known[en][gu] = wo.guards[gu].table.Incarnation
+}
+
+// cut ends an attempt at its entry while its messages may be under way, or
+// gives up waiting for the answer to a settle question.
+func (wo *world) cut() {
+	if se := wo.pickSend(asking); se != nil && wo.draw("asking", 2) == 0 {
+		wo.report(se, retry.Report{Event: retry.Unsettled})
+		return
+	}
+	if se := wo.pickSend(attempting); se != nil {
+		se.tried = append(se.tried, se.guard)
+		wo.report(se, retry.Report{Event: retry.Cut, Error: core.Doubt(core.CodeAnswerCut, "cut")})
+	}
+}
+
+func (wo *world) settle(me message) {
+	gu := wo.guards[me.guard]
+	table := &gu.table
+	if wo.mutant.noTombstone {
+		table = &fence.Table{Incarnation: gu.table.Incarnation, Grace: modelGrace}
+		if gu.table.Known(me.id) {
+			table = &gu.table
+		}
+	}
+	me.state = table.Settle(wo.now, me.id, me.inc, me.until)
+	me.kind = settledMessage
+	wo.net = append(wo.net, me)
+}
+
+// reply takes a reply in at an entry as the frames of an attempt are: one that
+// names another attempt ends the stream as cut.
+func (wo *world) reply(me message, se *send) {
+	if se.phase != attempting {
+		return
+	}
+	switch {
+	case me.id != se.id && me.send == se:
+		return // late: its stream is closed
+	case me.id != se.id:
+		wo.report(se, retry.Report{Event: retry.Cut, Error: core.Doubt(core.CodeAnswerCut, "crossed")})
+	case me.err != nil:
+		if me.err.Code == core.CodeOldIncarnation {
+			wo.known[se.entry][se.guard] = wo.guards[se.guard].table.Incarnation
+		}
+		wo.report(se, retry.Report{Event: retry.Refused, Error: me.err})
+	default:
+		wo.end(se, nil, me.number)
+	}
+}
+
+// report asks the plan what follows, and does it.
+func (wo *world) report(se *send, re retry.Report) {
+	if wo.mutant.noSettle && re.Event == retry.Cut && !se.call.idempotent {
+		re = retry.Report{Event: retry.Settled, State: string(fence.Forbidden)}
+	}
+	next := se.plan.Next(wo.now, re, func() bool { return true })
+	wo.tell("call %d at guard %d: %s %v %s -> %s %v", se.call.number, se.guard, re.Event, re.Error, re.State, next.Move, next.Error)
+	switch next.Move {
+	case retry.Finish:
+		wo.end(se, next.Error, 0)
+	case retry.Ask:
+		se.phase = asking
+		wo.net = append(wo.net, message{
+			kind: settleMessage, send: se, guard: se.guard, id: se.id, inc: se.inc, until: wo.now.Add(modelStartWithin),
+		})
+	case retry.Attach:
+		se.phase, se.again = placing, true
+	case retry.Again, retry.Elsewhere:
+		se.phase = placing
+	}
+}
+
+// end gives the caller the final answer.
+func (wo *world) end(se *send, er *core.Error, number int) {
+	se.phase = over
+	ca := se.call
+	ca.open--
+	switch {
+	case er == nil && number != ca.number:
+		wo.fault = fmt.Sprintf("call %d got the answer of call %d", ca.number, number)
+	case er == nil:
+		ca.answered = true
+		if ca.runs == 0 {
+			wo.fault = fmt.Sprintf("call %d was answered and never ran", ca.number)
+		}
+	case er.Verdict == core.NotRun && !ca.keyed:
+		ca.notRun = true
+	}
+}
+
+// check looks for a broken promise.
+func (wo *world) check() {
+	for _, ca := range wo.calls {
+		if !ca.idempotent && ca.runs > 1 {
+			wo.fault = fmt.Sprintf("call %d ran %d times", ca.number, ca.runs)
+		}
+		if ca.notRun && ca.runs > 0 {
+			wo.fault = fmt.Sprintf("call %d was refused as not run and ran", ca.number)
+		}
+	}
+}
+
+// settleDown delivers all that is still under way, much later, and lets all
+// runs end.
+func (wo *world) settleDown() {
+	wo.now = wo.now.Add(modelGrace * 2)
+	wo.sweep()
+	for range 500 {
+		if len(wo.net) > 0 {
+			wo.deliver()
+		}
+		wo.place()
+		wo.commit()
+		wo.finish()
+		wo.check()
+	}
+}
+
+// play runs the model and returns the broken promise, if any.
+func play(mu mutant, steps int, draw chooser) (fault string) {
+	wo := newWorld(mu, draw)
+	for range steps {
+		wo.step()
+		if wo.fault != "" {
+			return wo.fault
+		}
+	}
+	wo.settleDown()
+	return wo.fault
+}
--- a/retry/plan.go
+++ b/retry/plan.go
@@ -8,8 +8,9 @@
 //     doubt stays in the verdict of a later failure.
 //  3. A cut attempt of a non-idempotent request is settled with its guard
 //     first. Forbidden counts as not-run. Running and ran lead back to the
-//     same guard, where the key joins the run or gets the kept answer.
-//     Unknown ends the request with may-have-run.
+//     same guard, where the key joins the run or gets the kept answer; from
+//     then on the request is known to have run, whatever becomes of the
+//     attempts to join. Unknown ends the request with may-have-run.
 //  4. A non-idempotent request is never sent to a second guard while a first
 //     one may have run it.
 //  5. A keyed request stays with its home: it is never sent elsewhere.
@@ -182,24 +183,29 @@
 }
 
 func (pl *Plan) settled(now time.Time, re Report, budget func() bool) Next {
-	switch re.State {
-	case stateForbidden:
+	switch {
+	case re.State == stateForbidden && pl.verdict == "":
 		return pl.retry(now, budget)
-	case stateRunning, stateRan:
-		if pl.Left > 0 && now.Before(pl.Deadline) {
-			pl.Left--
-			return Next{Move: Attach}
-		}
-		pl.verdict = core.MayHaveRun
-		if re.State == stateRan {
-			pl.verdict = core.Ran
-		}
-		return pl.finish()
+	case re.State == stateRan:
+		pl.verdict = core.Ran
+		return pl.attach(now)
+	case re.State == stateRunning, re.State == stateForbidden: // forbidden: only the attempt to join
+		pl.verdict = pl.verdict.And(core.MayHaveRun)
+		return pl.attach(now)
 	}
 	pl.verdict = pl.verdict.And(core.MayHaveRun)
 	return pl.finish()
 }
 
+// attach goes back to the guard where the request runs or ran.
+func (pl *Plan) attach(now time.Time) Next {
+	if pl.Left == 0 || !now.Before(pl.Deadline) {
+		return pl.finish()
+	}
+	pl.Left--
+	return Next{Move: Attach}
+}
+
 func (pl *Plan) unsettled(now time.Time, re Report, _ func() bool) Next {
 	if re.Error != nil {
 		pl.last = re.Error
