--- a/bench/checks.go
+++ b/bench/checks.go
@@ -151,33 +151,39 @@
 	for _, ch := range checks {
 		re.Sent++
 		re.Resent += len(ch.verdicts) - 1
-		ran := runs[ch.body]
 		last := ch.verdicts[len(ch.verdicts)-1]
-		switch last {
-		case core.Ran:
-			re.Answered++
-		case core.NotRun:
-			re.NotRun++
-		case noAnswer:
-			re.NoAnswer++
-		default:
-			re.MayHaveRun++
-		}
-		switch {
-		case ran > 1:
-			re.Doubled++
-		case ran == 1:
-			re.RanOnce++
-		}
-		if ran > 0 && last == core.NotRun {
-			re.FalseNot++
-		}
-		if ran == 0 && last == core.Ran {
-			re.FalseRan++
-		}
-		if ran > 0 && last != core.Ran && last != core.NotRun {
-			re.RanInDoubt++
-		}
+		re.countVerdict(last)
+		re.countRuns(last, runs[ch.body])
 	}
 	return re
 }
+
+func (re *checksReport) countVerdict(last core.Verdict) {
+	switch last {
+	case core.Ran:
+		re.Answered++
+	case core.NotRun:
+		re.NotRun++
+	case noAnswer:
+		re.NoAnswer++
+	default:
+		re.MayHaveRun++
+	}
+}
+
+func (re *checksReport) countRuns(last core.Verdict, ran int) {
+	switch {
+	case ran > 1:
+		re.Doubled++
+	case ran == 1:
+		re.RanOnce++
+	}
+	switch {
+	case ran > 0 && last == core.NotRun:
+		re.FalseNot++
+	case ran == 0 && last == core.Ran:
+		re.FalseRan++
+	case ran > 0 && last != core.Ran:
+		re.RanInDoubt++
+	}
+}
--- /dev/null
+++ b/core/core_test.go
@@ -0,0 +1,62 @@
+package core_test
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/core"
+)
+
+// The combination of two attempts' verdicts, whole.
+func TestVerdictAnd(t *testing.T) {
+	for _, tc := range []struct{ first, second, both core.Verdict }{
+		{"", core.NotRun, core.NotRun},
+		{core.NotRun, core.NotRun, core.NotRun},
+		{core.NotRun, core.MayHaveRun, core.MayHaveRun},
+		{core.NotRun, core.Ran, core.Ran},
+		{core.MayHaveRun, core.MayHaveRun, core.MayHaveRun},
+		{core.MayHaveRun, core.Ran, core.Ran},
+		{core.Ran, core.Ran, core.Ran},
+	} {
+		require.Equal(t, tc.both, tc.first.And(tc.second))
+		require.Equal(t, tc.both, tc.second.And(tc.first))
+	}
+}
+
+// What cannot be read claims nothing.
+func TestParseVerdict(t *testing.T) {
+	require.Equal(t, core.NotRun, core.ParseVerdict("not-run"))
+	require.Equal(t, core.MayHaveRun, core.ParseVerdict("no such verdict"))
+	require.Equal(t, core.MayHaveRun, core.AsError(errors.New("plain")).Verdict)
+	require.Equal(t, core.NotRun, core.AsError(errors.Wrap(core.Refuse(core.CodeFull, "full"), "outer")).Verdict)
+}
+
+// A key moves only when its owner leaves, or to the one that comes.
+func TestOwnerMovesLittle(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	for at := range 200 {
+		key := string(rune('A' + at))
+		before := core.Owner(key, names)
+		without := core.Owner(key, names[:3])
+		if before != "d" {
+			require.Equal(t, before, without)
+		}
+	}
+	require.Empty(t, core.Owner("key", nil))
+}
+
+func TestLoopRunsInOrderAndEnds(t *testing.T) {
+	lo, stop := core.NewLoop(), make(chan struct{})
+	go lo.Run(stop)
+	var seen []int
+	for at := range 100 {
+		lo.Post(func() { seen = append(seen, at) })
+	}
+	require.True(t, lo.Do(func() { require.Len(t, seen, 100) }))
+	require.IsIncreasing(t, seen)
+	close(stop)
+	<-lo.Done()
+	require.False(t, lo.Do(func() {}))
+}
--- a/docs/processes.sh
+++ b/docs/processes.sh
@@ -19,13 +19,14 @@
 guard() { # name service domain port target-url model
   printf '%s\n' "target = '$1'" "service = '$2'" "listen = '127.0.0.1:$4'" '[place]' "region = 'recife'" \
     "failure-domain = '$3'" '[platform]' "$platform" '[token]' "name = '$1'" "role = 'node'" "token = 'node-key'" \
-    '[engine]' "url = '$5'" "model = $6" 'fenced = true' >"$dir/$1.toml"
+    '[engine]' "url = '$5'" "model = $6" 'fenced = true' \
+    '[timing]' "key-hold = '${KEY_HOLD:-10m}'" >"$dir/$1.toml"
   start "$1" "$dir/bilberryshelf" guard --settings "$dir/$1.toml"
   list="$list{\"targets\":[\"127.0.0.1:$4\"],\"labels\":{\"name\":\"$1\",\"role\":\"guard\",\"service\":\"$2\",\"region\":\"recife\",\"failure-domain\":\"$3\",\"state\":\"serving\"}},"
 }
 entry() { # name domain port inner-port
   printf '%s\n' "name = '$1'" "listen = '127.0.0.1:$3'" "inner-listen = '127.0.0.1:$4'" '[place]' "region = 'recife'" \
-    "failure-domain = '$2'" '[platform]' "$platform" >"$dir/$1.toml"
+    "failure-domain = '$2'" '[platform]' "$platform" '[timing]' "key-hold = '${KEY_HOLD:-10m}'" >"$dir/$1.toml"
   for who in planner:operator chemists:trainer sales-desk:caller nodes:node; do
     printf '%s\n' '[[tokens]]' "name = '${who%:*}'" "role = '${who#*:}'" "token = '${who#*:}-key'" >>"$dir/$1.toml"
   done
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -37,8 +37,8 @@
 func (oc outcome) whole() bool { return oc.report.Event == "" }
 
 // attempt sends a request to one target.
-func (en *Entry) attempt(ctx context.Context, rq *request, at place, id core.ID, rc receiver) outcome {
-	co := at.contact
+func (en *Entry) attempt(ctx context.Context, ch *chase) outcome {
+	rq, co := ch.rq, ch.at.contact
 	co.Mine.Add(1)
 	defer co.Mine.Add(-1)
 	ctx, cancel := context.WithCancel(ctx)
@@ -47,13 +47,13 @@
 	defer unwatch()
 
 	began := en.clock.Now()
-	stream, err := co.client.Dispatch(ctx, en.dispatch(rq, at, id))
+	stream, err := co.client.Dispatch(ctx, en.dispatch(ch))
 	if err != nil {
 		return outcome{report: cut(rq, err)}
 	}
 	defer stream.Close() //nolint:errcheck // the answer was judged by its end frame
 	var oc outcome
-	fr := frames{rc: rc, target: co.Name, id: id, hash: xxhash.New()}
+	fr := frames{rc: ch.rc, target: co.Name, id: ch.id, hash: xxhash.New()}
 	for stream.Receive() {
 		done, re := fr.take(stream.Msg())
 		if fr.began && oc.first == 0 {
@@ -81,7 +81,8 @@
 	return retry.Report{Event: retry.Cut, Error: core.Doubt(core.CodeAnswerCut, "the answer was cut: %v", err)}
 }
 
-func (en *Entry) dispatch(rq *request, at place, id core.ID) *wire.DispatchRequest {
+func (en *Entry) dispatch(ch *chase) *wire.DispatchRequest {
+	rq, at, id := ch.rq, ch.at, ch.id
 	co := at.contact
 	now := en.clock.Now()
 	hold := internalHold
@@ -96,7 +97,7 @@
 		Service:       rq.service, Loan: at.loan.ID, Tenant: rq.tenant, Priority: string(rq.priority),
 		Idempotent: rq.idempotent, Key: rq.key, KeyHoldNanos: int64(hold),
 		Digest: rq.digest, Method: rq.method, Path: rq.path, Headers: rq.headers, Body: rq.body,
-		Alone: at.alone, Revision: ta.Revision, Sample: rq.sample,
+		Alone: at.alone, Revision: ta.Revision, Sample: rq.sample, Fresh: !rq.keyed && !ch.plan.InDoubt(),
 	}
 	if co.Revision < ta.Revision {
 		if raw, err := vi.book.For(co.Name).Encode(); err == nil {
--- a/entry/request.go
+++ b/entry/request.go
@@ -209,7 +209,7 @@
 		ch.at = at
 	}
 	ch.id = core.ID(uuid.New())
-	oc := en.attempt(ctx, ch.rq, ch.at, ch.id, ch.rc)
+	oc := en.attempt(ctx, ch)
 	if oc.whole() {
 		en.wentWell(ch.rq, ch.at, oc.first)
 		return oc.report
--- a/fence/table.go
+++ b/fence/table.go
@@ -23,7 +23,8 @@
 //     may run anew.
 //  8. For a hold after a start without the former table, an unknown key of a
 //     non-idempotent request is refused with may-have-run, since the former
-//     process may have run it.
+//     process may have run it. A key that its entry calls fresh cannot have
+//     been run by anybody, and is let through.
 //  9. Settle on a never-seen key forbids the key for the hold, so that its
 //     new home may run it.
 //  10. An answer that no longer fits the space is dropped, the key is kept.
@@ -44,6 +45,8 @@
 	KeyHold     time.Duration
 	Digest      uint64
 	Idempotent  bool
+	// Fresh says that the key cannot have been run anywhere (rule 8).
+	Fresh bool
 }
 
 // Pass says what an admitted attempt is to do.
@@ -151,7 +154,7 @@
 func (ta *Table) beginKeyed(now time.Time, ti Ticket) (Pass, any, *core.Error) {
 	ke, known := ta.keys[ti.Key]
 	if !known {
-		if !ti.Idempotent && now.Before(ta.Quarantine) { // rule 8
+		if !ti.Idempotent && !ti.Fresh && now.Before(ta.Quarantine) { // rule 8
 			return "", nil, core.Doubt(core.CodeKeyHomeRestarted, "the key's home restarted and cannot know it").
 				WithRetryAfter(ta.Quarantine.Sub(now))
 		}
--- /dev/null
+++ b/fence/table_test.go
@@ -0,0 +1,243 @@
+package fence_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/core"
+	"bilberryshelf/fence"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
+
+func table() *fence.Table {
+	return &fence.Table{Incarnation: 7, Grace: 100 * time.Millisecond, Space: 10}
+}
+
+func ticket(id byte, key string) fence.Ticket {
+	return fence.Ticket{
+		ID: core.ID{id}, Incarnation: 7, Deadline: at(50), Key: key, KeyHold: time.Second, Digest: 1,
+	}
+}
+
+func TestBeginRefuses(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		before  func(ta *fence.Table)
+		change  func(ti *fence.Ticket)
+		millis  int
+		code    core.Code
+		verdict core.Verdict
+	}{
+		{"another incarnation", nil, func(ti *fence.Ticket) { ti.Incarnation = 6 }, 0, core.CodeOldIncarnation, core.NotRun},
+		{"after its deadline", nil, nil, 50, core.CodeDeadline, core.NotRun},
+		{"settled before it came", func(ta *fence.Table) { ta.Settle(at(0), core.ID{1}, 7, at(50)) }, nil, 1, core.CodeSettledNotRun, core.NotRun},
+		{"a second arrival", func(ta *fence.Table) { _, _, _ = ta.Begin(at(0), ticket(1, "")) }, nil, 1, core.CodeDuplicate, core.MayHaveRun},
+		{"a key with another request", func(ta *fence.Table) { _, _, _ = ta.Begin(at(0), ticket(2, "k")) }, func(ti *fence.Ticket) { ti.Key, ti.Digest = "k", 2 }, 1, core.CodeKeyConflict, core.NotRun},
+		{"a key handed on", func(ta *fence.Table) { ta.SettleKey(at(0), "k", time.Second) }, func(ti *fence.Ticket) { ti.Key = "k" }, 1, core.CodeKeyMoved, core.NotRun},
+		{"a key of a former incarnation", func(ta *fence.Table) { ta.Quarantine = at(1000) }, func(ti *fence.Ticket) { ti.Key = "k" }, 1, core.CodeKeyHomeRestarted, core.MayHaveRun},
+		{"a key lost with the target", func(ta *fence.Table) {
+			_, _, _ = ta.Begin(at(0), ticket(2, "k"))
+			ta.Finish(at(1), core.ID{2}, fence.Lost, nil, 0)
+		}, func(ti *fence.Ticket) { ti.Key = "k" }, 2, core.CodeTargetLost, core.MayHaveRun},
+		{"a key whose answer had no space", func(ta *fence.Table) {
+			_, _, _ = ta.Begin(at(0), ticket(2, "k"))
+			ta.Finish(at(1), core.ID{2}, fence.Done, "long", 11)
+		}, func(ti *fence.Ticket) { ti.Key = "k" }, 2, core.CodeAnswerDropped, core.Ran},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ta, ti := table(), ticket(1, "")
+			if tc.before != nil {
+				tc.before(ta)
+			}
+			if tc.change != nil {
+				tc.change(&ti)
+			}
+			_, _, er := ta.Begin(at(tc.millis), ti)
+			require.NotNil(t, er)
+			require.Equal(t, tc.code, er.Code)
+			require.Equal(t, tc.verdict, er.Verdict)
+		})
+	}
+}
+
+func TestKeyJoinsThenReplays(t *testing.T) {
+	ta := table()
+	pass, _, er := ta.Begin(at(0), ticket(1, "k"))
+	require.Nil(t, er)
+	require.Equal(t, fence.Run, pass)
+	pass, _, er = ta.Begin(at(1), ticket(2, "k"))
+	require.Nil(t, er)
+	require.Equal(t, fence.Join, pass)
+	ta.Finish(at(2), core.ID{1}, fence.Done, "answer", 6)
+	pass, answer, er := ta.Begin(at(3), ticket(3, "k"))
+	require.Nil(t, er)
+	require.Equal(t, fence.Replay, pass)
+	require.Equal(t, "answer", answer)
+}
+
+// A run that never began leaves the key free.
+func TestUndoneKeyMayRun(t *testing.T) {
+	ta := table()
+	_, _, er := ta.Begin(at(0), ticket(1, "k"))
+	require.Nil(t, er)
+	require.NotNil(t, ta.Commit(at(50), core.ID{1}))
+	pass, _, er := ta.Begin(at(10), ticket(2, "k"))
+	require.Nil(t, er)
+	require.Equal(t, fence.Run, pass)
+}
+
+// An idempotent key that was lost, and a fresh key in quarantine, may run.
+func TestKeysLetThrough(t *testing.T) {
+	ta := table()
+	lost := ticket(1, "k")
+	lost.Idempotent = true
+	_, _, er := ta.Begin(at(0), lost)
+	require.Nil(t, er)
+	ta.Finish(at(1), core.ID{1}, fence.Lost, nil, 0)
+	lost.ID = core.ID{2}
+	pass, _, er := ta.Begin(at(2), lost)
+	require.Nil(t, er)
+	require.Equal(t, fence.Run, pass)
+
+	ta.Quarantine = at(1000)
+	fresh := ticket(3, "fresh")
+	fresh.Fresh = true
+	pass, _, er = ta.Begin(at(3), fresh)
+	require.Nil(t, er)
+	require.Equal(t, fence.Run, pass)
+}
+
+func TestSettle(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		before      func(ta *fence.Table)
+		incarnation uint64
+		millis      int
+		state       fence.Settled
+	}{
+		{"never seen", nil, 7, 0, fence.Forbidden},
+		{"never seen, just past deadline and grace", nil, 7, 151, fence.Unknown},
+		{"another incarnation", nil, 6, 0, fence.Unknown},
+		{"admitted", func(*fence.Table) {}, 7, 0, fence.Running},
+		{"given to the target", func(ta *fence.Table) { _ = ta.Commit(at(1), core.ID{1}) }, 7, 2, fence.Running},
+		{"answered", func(ta *fence.Table) { ta.Finish(at(1), core.ID{1}, fence.Done, nil, 0) }, 7, 2, fence.HasRun},
+		{"never given", func(ta *fence.Table) { ta.Finish(at(1), core.ID{1}, fence.Undone, nil, 0) }, 7, 2, fence.Forbidden},
+		{"lost", func(ta *fence.Table) { ta.Finish(at(1), core.ID{1}, fence.Lost, nil, 0) }, 7, 2, fence.Unknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ta := table()
+			if tc.before != nil {
+				_, _, er := ta.Begin(at(0), ticket(1, ""))
+				require.Nil(t, er)
+				tc.before(ta)
+			}
+			require.Equal(t, tc.state, ta.Settle(at(tc.millis), core.ID{1}, tc.incarnation, at(50)))
+		})
+	}
+}
+
+// The table of ids is bounded by rate times deadline and grace; what runs is
+// kept however long it takes.
+func TestSweepBoundsTheTable(t *testing.T) {
+	ta := table()
+	for nu := range 100 {
+		ti := ticket(byte(nu), "")
+		ti.Deadline = at(nu + 50)
+		_, _, er := ta.Begin(at(nu), ti)
+		require.Nil(t, er)
+		if nu > 0 {
+			ta.Finish(at(nu), ti.ID, fence.Done, nil, 0)
+		}
+	}
+	attempts, _ := ta.Sweep(at(200))
+	require.Equal(t, 1+50, attempts, "one runs, fifty are within deadline and grace")
+	attempts, _ = ta.Sweep(at(10000))
+	require.Equal(t, 1, attempts)
+}
+
+// Keys handed to the next incarnation are known there, without quarantine.
+func TestPackUnpack(t *testing.T) {
+	ta := table()
+	_, _, er := ta.Begin(at(0), ticket(1, "k"))
+	require.Nil(t, er)
+	_, err := ta.Pack()
+	require.Error(t, err, "a key is running")
+	ta.Finish(at(1), core.ID{1}, fence.Done, "answer", 6)
+	raw, err := ta.Pack()
+	require.NoError(t, err)
+
+	next := &fence.Table{Incarnation: 8, Quarantine: at(1000)}
+	require.NoError(t, next.Unpack(raw))
+	ti := ticket(2, "k")
+	ti.Incarnation = 8
+	_, _, er = next.Begin(at(2), ti)
+	require.NotNil(t, er)
+	require.Equal(t, core.Ran, er.Verdict)
+	ti.ID, ti.Key = core.ID{3}, "other"
+	pass, _, er := next.Begin(at(2), ti)
+	require.Nil(t, er)
+	require.Equal(t, fence.Run, pass)
+}
+
+func TestOrders(t *testing.T) {
+	or := fence.Orders{Incarnation: 5, Fenced: true}
+	first, er := or.Next(start)
+	require.Nil(t, er)
+	_, er = or.Next(start)
+	require.NotNil(t, er, "one order at a time")
+	or.Done()
+	second, er := or.Next(start)
+	require.Nil(t, er)
+	require.Greater(t, second, first)
+	later := fence.Orders{Incarnation: 6, Fenced: true}
+	third, er := later.Next(start)
+	require.Nil(t, er)
+	require.Greater(t, third, second, "a later guard outbids an earlier one")
+
+	unfenced := fence.Orders{Incarnation: 6, Longest: time.Second, Started: start}
+	_, er = unfenced.Next(at(999))
+	require.NotNil(t, er, "an order of the former guard may still arrive")
+	_, er = unfenced.Next(at(1000))
+	require.Nil(t, er)
+}
+
+func ExampleTable() {
+	now := time.Unix(0, 0)
+	ta := &fence.Table{Incarnation: 1, Grace: time.Second}
+	id := core.ID{9}
+	deadline := now.Add(5 * time.Second)
+	fmt.Println(ta.Settle(now, id, 1, deadline))
+	_, _, er := ta.Begin(now, fence.Ticket{ID: id, Incarnation: 1, Deadline: deadline})
+	fmt.Println(er.Verdict, er.Code)
+	// Output:
+	// forbidden
+	// not-run settled-not-run
+}
+
+func BenchmarkTable(b *testing.B) {
+	for _, known := range []int{1000, 10000, 100000} {
+		b.Run(fmt.Sprint(known), func(b *testing.B) {
+			ta := &fence.Table{Incarnation: 1, Grace: time.Hour}
+			for nu := range known {
+				ta.Settle(start, id(nu), 1, at(50))
+			}
+			b.ResetTimer()
+			for nu := range b.N {
+				ti := fence.Ticket{ID: id(known + nu), Incarnation: 1, Deadline: at(50)}
+				_, _, _ = ta.Begin(start, ti)
+				_ = ta.Commit(start, ti.ID)
+				ta.Finish(start, ti.ID, fence.Done, nil, 0)
+			}
+		})
+	}
+}
+
+func id(number int) core.ID {
+	return core.ID{byte(number), byte(number >> 8), byte(number >> 16), byte(number >> 24)}
+}
--- a/guard/admit.go
+++ b/guard/admit.go
@@ -49,7 +49,7 @@
 	hold := min(time.Duration(req.KeyHoldNanos), gu.settings.Timing.KeyHold.Std())
 	return fence.Ticket{
 		ID: id, Incarnation: req.Incarnation, Deadline: time.Unix(0, req.DeadlineNanos),
-		Key: req.Key, KeyHold: hold, Digest: req.Digest, Idempotent: req.Idempotent,
+		Key: req.Key, KeyHold: hold, Digest: req.Digest, Idempotent: req.Idempotent, Fresh: req.Fresh,
 	}
 }
 
@@ -140,7 +140,7 @@
 		sample: req.Sample, started: now, done: make(chan struct{}),
 	}
 	if req.Sample {
-		ru.versions = gu.loaded.now()
+		ru.labels = gu.loaded.labels()
 	}
 	gu.running[ti.ID] = ru
 	gu.perLoan[req.Loan]++
--- a/guard/death.go
+++ b/guard/death.go
@@ -116,6 +116,6 @@
 			return
 		}
 		gu.health = he
-		gu.loaded.read(he.Version)
+		gu.readBack(he.Version)
 	})
 }
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -155,9 +155,9 @@
 		return nil, busy
 	}
 	head := &wire.Head{Id: req.Id, Status: int32(res.StatusCode), Headers: wireHeaders(res.Header)}
-	pa := passage{out: out, keep: ru.key != "", most: int(gu.settings.Limits.MaxAnswer), hash: xxhash.New()}
+	pa := passage{out: out, clock: gu.clock, labels: ru.labels, keep: ru.key != "", most: int(gu.settings.Limits.MaxAnswer), hash: xxhash.New()}
 	pa.send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_Head{Head: head}})
-	if err := pa.copy(res.Body, ru.sample); err != nil {
+	if err := pa.copy(res.Body); err != nil {
 		return nil, core.Doubt(core.CodeAnswerCut, "the target's answer was cut: %v", err)
 	}
 	end := &wire.End{Id: req.Id, Length: pa.length, Digest: pa.hash.Sum64()}
@@ -207,7 +207,10 @@
 // passage passes an answer on while it comes, and keeps it if asked. When the
 // entry has gone away it goes on reading for the sake of the outcome.
 type passage struct {
-	out      sender
+	out   sender
+	clock core.Clock
+	// labels is set for samples.
+	labels   *labels
 	gone     bool
 	keep     bool
 	most     int
@@ -225,12 +228,12 @@
 	}
 }
 
-func (pa *passage) copy(body io.Reader, sample bool) error {
+func (pa *passage) copy(body io.Reader) error {
 	buf := make([]byte, chunkSize)
 	for {
 		count, err := body.Read(buf)
 		if count > 0 {
-			pa.take(buf[:count], sample)
+			pa.take(buf[:count])
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -241,10 +244,10 @@
 	}
 }
 
-func (pa *passage) take(raw []byte, sample bool) {
+func (pa *passage) take(raw []byte) {
 	pa.length += int64(len(raw))
 	_, _ = pa.hash.Write(raw)
-	if sample {
+	if pa.labels != nil {
 		pa.note(pa.stream.Feed(raw))
 	}
 	if pa.keep && len(pa.kept)+len(raw) > pa.most {
@@ -263,6 +266,7 @@
 		if ev.Tokens == 0 {
 			continue
 		}
+		pa.labels.check(ev.Version, pa.clock.Now())
 		last := len(pa.segments) - 1
 		if last >= 0 && pa.segments[last].Version == ev.Version {
 			pa.segments[last].Tokens += int32(ev.Tokens)
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -84,15 +84,15 @@
 
 // run is one request in progress on the target.
 type run struct {
-	id       core.ID
-	key      string
-	loan     string
-	digest   uint64
-	alone    bool
-	sample   bool
-	started  time.Time
-	versions map[uint64]bool
-	done     chan struct{}
+	id      core.ID
+	key     string
+	loan    string
+	digest  uint64
+	alone   bool
+	sample  bool
+	started time.Time
+	labels  *labels
+	done    chan struct{}
 }
 
 // New makes a guard; Run starts it.
--- a/guard/weights.go
+++ b/guard/weights.go
@@ -22,49 +22,64 @@
 	coming  uint64
 }
 
-// now is the set of versions that may produce tokens at this moment.
-func (ve *versions) now() map[uint64]bool {
-	set := map[uint64]bool{ve.current: true}
+// labels starts the labels of a sample with what may produce tokens now.
+func (ve *versions) labels() *labels {
+	la := &labels{}
+	la.open(ve.current)
 	if ve.coming != 0 {
-		set[ve.coming] = true
+		la.open(ve.coming)
 	}
-	return set
+	return la
 }
 
-// read takes in what the target says it generates with.
-func (ve *versions) read(version uint64) { ve.current = version }
-
-// segments checks the engine's report against the guard's orders. If any part
-// has no version, or one that no order can have brought, nothing is claimed:
-// an empty list means that the versions are in doubt.
+// segments returns what the engine reported if all of it is certain. An empty
+// list means that the versions are in doubt.
 func (gu *Guard) segments(ru *run, reported []*wire.Segment, ended bool) []*wire.Segment {
 	if !ended {
 		return nil
 	}
-	sure := true
-	gu.loop.Do(func() {
-		for _, se := range reported {
-			if se.Version == 0 || !ru.versions[se.Version] {
-				sure = false
-			}
-		}
-	})
-	if !sure {
+	if !ru.labels.sure() {
 		gu.meters.Count("versions-in-doubt", "", 1)
 		return nil
 	}
 	return reported
 }
 
-// expect widens the versions of every running sample by one that an order may
-// bring from now on. It runs on the loop.
+// eachSample calls for every sample in progress. It runs on the loop.
+func (gu *Guard) eachSample(call func(la *labels)) {
+	for _, ru := range gu.running {
+		if ru.labels != nil {
+			call(ru.labels)
+		}
+	}
+}
+
+// expect allows a version that an order may bring from now on. It runs on the
+// loop.
 func (gu *Guard) expect(version uint64) {
 	gu.loaded.coming = version
-	for _, ru := range gu.running {
-		if ru.versions != nil {
-			ru.versions[version] = true
+	late := gu.settings.Engine.LateReports
+	gu.eachSample(func(la *labels) {
+		la.open(version)
+		if late {
+			la.suspect()
 		}
+	})
+}
+
+// readBack takes in what the target says it generates with. It runs on the
+// loop.
+func (gu *Guard) readBack(version uint64) {
+	former := gu.loaded.current
+	if version == former {
+		return
 	}
+	now := gu.clock.Now()
+	gu.loaded.current = version
+	gu.eachSample(func(la *labels) {
+		la.retire(former, now)
+		la.open(version)
+	})
 }
 
 // rolloutTick is the time between two looks for a new version.
@@ -137,7 +152,7 @@
 		if readErr != nil {
 			return
 		}
-		gu.loaded.read(he.Version)
+		gu.readBack(he.Version)
 		if loaded = he.Version == ve.Number; loaded {
 			gu.loaded.coming = 0
 		}
--- a/retry/model_test.go
+++ b/retry/model_test.go
@@ -101,6 +101,7 @@
 	until  time.Time
 	key    string
 	idem   bool
+	fresh  bool
 	number int
 	err    *core.Error
 	state  fence.Settled
@@ -266,7 +267,8 @@
 	se.phase = attempting
 	wo.net = append(wo.net, message{
 		kind: dispatchMessage, send: se, guard: se.guard, id: se.id, inc: se.inc,
-		until: wo.now.Add(modelStartWithin), key: se.key, idem: se.call.idempotent, number: se.call.number,
+		until: wo.now.Add(modelStartWithin), key: se.key, idem: se.call.idempotent,
+		fresh: !se.call.keyed && !se.plan.InDoubt(), number: se.call.number,
 	})
 }
 
@@ -325,7 +327,7 @@
 	gu := wo.guards[me.guard]
 	ti := fence.Ticket{
 		ID: me.id, Incarnation: me.inc, Deadline: me.until, Key: me.key, KeyHold: modelHold,
-		Digest: uint64(me.number), Idempotent: me.idem,
+		Digest: uint64(me.number), Idempotent: me.idem, Fresh: me.fresh,
 	}
 	if wo.mutant.noKeys {
 		ti.Key = ""
--- a/retry/plan.go
+++ b/retry/plan.go
@@ -272,5 +272,8 @@
 	return pl.verdict.And(er.Verdict)
 }
 
+// InDoubt reports whether an attempt so far may have run.
+func (pl *Plan) InDoubt() bool { return pl.verdict != "" }
+
 // GiveUp ends a request that cannot go on, with the verdict so far.
 func (pl *Plan) GiveUp() *core.Error { return pl.finish().Error }
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -135,6 +135,9 @@
 	Model bool `toml:"model"`
 	// Fenced says that the target refuses orders with an old fencing number.
 	Fenced bool `toml:"fenced"`
+	// LateReports says that the engine names the version of a token late after
+	// a swap, so that samples met by a swap cannot be labelled.
+	LateReports bool `toml:"late-reports"`
 }
 
 // GuardLimits bounds what a guard takes in.
