--- /dev/null
+++ b/boot/boot.go
@@ -0,0 +1,95 @@
+// Package boot builds the daemons out of their settings, with the servers that
+// they need.
+package boot
+
+import (
+	"net/http"
+	"os"
+
+	"github.com/go-kit/log"
+
+	"bilberryshelf/core"
+	"bilberryshelf/entry"
+	"bilberryshelf/guard"
+	"bilberryshelf/meter"
+	"bilberryshelf/server"
+	"bilberryshelf/setup"
+	"bilberryshelf/store"
+	"bilberryshelf/wire/wireconnect"
+)
+
+// Part is a daemon that runs until it is stopped and has drained.
+type Part interface {
+	Run() error
+	Stop()
+	Done() <-chan struct{}
+}
+
+// Daemon is a part with its servers, which listen but do not serve yet.
+type Daemon struct {
+	Part    Part
+	Servers []*server.Server
+}
+
+// Entry builds an entry. The first server is the one for callers.
+func Entry(se setup.Entry, lg log.Logger) (Daemon, error) {
+	tables, objects, list := platform(se.Platform)
+	en := entry.New(se, core.SystemClock{}, lg, &meter.Set{}, entry.Platform{Tables: tables, Objects: objects, List: list})
+	outer := &server.Server{
+		Handler: en.Handler(), MaxHeader: int(se.Limits.MaxHeader), MaxConnections: se.Limits.MaxConnections,
+		HeaderTimeout: se.Timing.ReadTimeout.Std(),
+	}
+	inner := &server.Server{Handler: en.InnerHandler(), Plain2: true}
+	if err := outer.Listen(se.Listen); err != nil {
+		return Daemon{}, err
+	}
+	if err := inner.Listen(se.InnerListen); err != nil {
+		return Daemon{}, err
+	}
+	return Daemon{Part: en, Servers: []*server.Server{outer, inner}}, nil
+}
+
+// Guard builds a guard.
+func Guard(se setup.Guard, lg log.Logger) (Daemon, error) {
+	tables, objects, _ := platform(se.Platform)
+	me := &meter.Set{}
+	gu := guard.New(se, core.SystemClock{}, lg, me, tables, objects)
+	inner := &server.Server{Handler: guardHandler(gu, se, me), Plain2: true}
+	if err := inner.Listen(se.Listen); err != nil {
+		return Daemon{}, err
+	}
+	return Daemon{Part: gu, Servers: []*server.Server{inner}}, nil
+}
+
+// guardHandler serves the inner protocol to holders of the nodes' token, and
+// health and metrics to all.
+func guardHandler(gu *guard.Guard, se setup.Guard, me *meter.Set) http.Handler {
+	mux := http.NewServeMux()
+	path, handler := wireconnect.NewGuardServiceHandler(gu)
+	mux.Handle(path, server.RequireToken(se.Token.Secret(), handler))
+	mux.HandleFunc("GET /healthz", func(out http.ResponseWriter, _ *http.Request) { out.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(out http.ResponseWriter, _ *http.Request) {
+		if !gu.Ready() {
+			out.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", me)
+	return mux
+}
+
+func platform(pl setup.Platform) (*store.Table, *store.Objects, *store.List) {
+	access := func(url string) store.Access {
+		return store.Access{URL: url, KeyID: pl.KeyID, Secret: secret(pl), Timeout: pl.Timeout.Std()}
+	}
+	return store.NewTable(access(pl.TablesURL), pl.Table),
+		store.NewObjects(access(pl.ObjectsURL), pl.Bucket),
+		store.NewList(access(pl.InstancesURL))
+}
+
+// secret is the platform's secret key. A platform that checks none takes any.
+func secret(pl setup.Platform) string {
+	if pl.SecretEnv == "" {
+		return pl.KeyID
+	}
+	return os.Getenv(pl.SecretEnv)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -242,13 +242,26 @@
 	ga := en.gates[service]
 	if ga == nil {
 		ga = &gate{waiting: map[uint64]chan *core.Error{}}
-		ga.Least, ga.Most = leastWindow, float64(en.settings.Limits.MostInFlight)
+		ga.Least = leastWindow
 		ga.Depth = en.settings.Limits.QueueDepth
 		ga.Jitter = rand.Float64
 		en.gates[service] = ga
 	}
+	ga.Most = float64(min(en.capacity(service), en.settings.Limits.MostInFlight))
 	return ga
 }
 
+// capacity is what the targets of a service take at once, as far as they were
+// heard from. It runs on the loop.
+func (en *Entry) capacity(service string) int {
+	total := 0
+	for _, re := range en.remotes {
+		if re.chosen && re.hello != nil && re.inst.Service == service {
+			total += int(re.hello.Capacity)
+		}
+	}
+	return max(total, leastWindow)
+}
+
 // leastWindow is the fewest requests in flight that an entry allows itself.
 const leastWindow = 4
--- a/entry/http.go
+++ b/entry/http.go
@@ -3,13 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +15,7 @@
 
 	"bilberryshelf/core"
 	"bilberryshelf/loan"
+	"bilberryshelf/server"
 	"bilberryshelf/setup"
 	"bilberryshelf/wire"
 	"bilberryshelf/wire/wireconnect"
@@ -51,26 +49,7 @@
 func (en *Entry) InnerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewPeerServiceHandler(en))
-	return RequireToken(en.nodeKey, mux)
-}
-
-// RequireToken lets only callers with the token in. It compares in constant
-// time.
-func RequireToken(token string, next http.Handler) http.Handler {
-	want := sha256.Sum256([]byte(token))
-	return http.HandlerFunc(func(out http.ResponseWriter, req *http.Request) {
-		if !sameToken(req, want) {
-			http.Error(out, "unauthorized", http.StatusUnauthorized)
-			return
-		}
-		next.ServeHTTP(out, req)
-	})
-}
-
-func sameToken(req *http.Request, want [sha256.Size]byte) bool {
-	token, found := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
-	have := sha256.Sum256([]byte(token))
-	return found && subtle.ConstantTimeCompare(have[:], want[:]) == 1
+	return server.RequireToken(en.nodeKey, mux)
 }
 
 func (en *Entry) readyz(out http.ResponseWriter, _ *http.Request) {
@@ -88,12 +67,12 @@
 func (en *Entry) as(role setup.Role, next handler) http.HandlerFunc {
 	type known struct {
 		name string
-		hash [sha256.Size]byte
+		hash server.TokenHash
 	}
 	var holders []known
 	for _, to := range en.settings.Tokens {
 		if to.Role == role {
-			holders = append(holders, known{name: to.Name, hash: sha256.Sum256([]byte(to.Secret()))})
+			holders = append(holders, known{name: to.Name, hash: server.HashToken(to.Secret())})
 		}
 	}
 	return func(out http.ResponseWriter, req *http.Request) {
@@ -101,7 +80,7 @@
 		defer en.requests.Done()
 		name := ""
 		for _, ho := range holders { // every one is compared, whatever matched
-			if sameToken(req, ho.hash) {
+			if ho.hash.Bears(req) {
 				name = ho.name
 			}
 		}
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -49,6 +49,8 @@
 	lost      context.Context
 	guardTime time.Time
 	heard     time.Time
+	// refill is the mean time between two finished requests.
+	refill time.Duration
 	// silent says that the guard itself has stopped answering.
 	silent bool
 }
@@ -74,6 +76,7 @@
 		co.State, co.silent = core.Down, true
 	}
 	co.Incarnation = re.hello.Incarnation
+	co.refill = time.Duration(re.hello.RefillNanos)
 	co.Revision, co.Version = re.hello.Revision, re.hello.Version
 	co.Capacity, co.Reported = int(re.hello.Capacity), int(re.hello.InFlight)
 	co.guardTime = time.Unix(0, re.hello.GuardTimeNanos)
--- a/entry/request.go
+++ b/entry/request.go
@@ -408,6 +408,11 @@
 	if !found || co.silent {
 		return place{}, core.Doubt(core.CodeKeyHomeGone, "target %s, the home of this key, does not answer", home)
 	}
+	if co.Load() >= co.Capacity {
+		// It is refused at once: a home that hangs must not fill the gate.
+		return place{}, core.Refuse(core.CodeQueueWait, "target %s, the home of this key, is full", home).
+			WithRetryAfter(co.refill)
+	}
 	return place{contact: co, loan: lo}, nil
 }
 
--- /dev/null
+++ b/entry/world_test.go
@@ -0,0 +1,152 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/core"
+	"bilberryshelf/engine"
+	"bilberryshelf/fake"
+	"bilberryshelf/setup"
+	"bilberryshelf/trial"
+)
+
+// patience bounds a test; nothing is asserted about how long it took.
+const patience = time.Minute
+
+// system is a world with engines, services and entries under one sheet.
+type system struct {
+	*trial.World
+	t        *testing.T
+	ctx      context.Context
+	entries  []*trial.Node
+	engines  []*fake.Engine
+	services []*fake.Service
+}
+
+// options say what a system has.
+type options struct {
+	engines, services, entries int
+	tokenEvery                 time.Duration
+	takes                      time.Duration
+	guard                      func(se *setup.Guard)
+	entry                      func(se *setup.Entry)
+}
+
+func newSystem(t *testing.T, op options) *system {
+	t.Helper()
+	wo, err := trial.New(nil)
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	sy := &system{World: wo, t: t, ctx: ctx}
+	t.Cleanup(func() {
+		wo.Close()
+		cancel()
+	})
+	for at := range op.engines {
+		en := &fake.Engine{TokenEvery: op.tokenEvery}
+		sy.engines = append(sy.engines, en)
+		_, err := wo.AddTarget(engineName(at), "blend-lm", "recife-a", en, nil, op.guard)
+		require.NoError(t, err)
+	}
+	for at := range op.services {
+		sv := &fake.Service{Takes: op.takes}
+		sy.services = append(sy.services, sv)
+		_, err := wo.AddTarget(serviceName(at), "lot-check", "recife-a", nil, sv, op.guard)
+		require.NoError(t, err)
+	}
+	for at := range max(op.entries, 1) {
+		no, err := wo.AddEntry(fmt.Sprintf("entry-%d", at), "recife-a", op.entry)
+		require.NoError(t, err)
+		sy.entries = append(sy.entries, no)
+	}
+	sy.apply(sy.sheet())
+	return sy
+}
+
+func engineName(at int) string  { return fmt.Sprintf("blend-lm-%02d", at) }
+func serviceName(at int) string { return fmt.Sprintf("lot-check-%02d", at) }
+
+func (sy *system) sheet() string {
+	text := trial.Header
+	if last := len(sy.engines) - 1; last >= 0 {
+		targets := fmt.Sprintf("blend-lm-[00-%02d]", last)
+		text += trial.Loan("desk", "blend-lm", targets, "sales-desk", core.Caller, core.High, time.Hour)
+		text += trial.Loan("train", "blend-lm", targets, "chemists", core.Trainer, core.Low, time.Hour)
+	}
+	if last := len(sy.services) - 1; last >= 0 {
+		text += trial.Loan("lots", "lot-check", fmt.Sprintf("lot-check-[00-%02d]", last), "sales-desk", core.Service, core.Normal, time.Hour)
+	}
+	return text
+}
+
+// apply applies a sheet and waits until every entry serves under it.
+func (sy *system) apply(text string) trial.Applied {
+	sy.t.Helper()
+	ap, err := sy.entries[0].Apply(sy.ctx, text)
+	require.NoError(sy.t, err)
+	for _, no := range sy.entries {
+		require.NoError(sy.t, no.Wait(sy.ctx, func(st trial.Status) bool {
+			serving := len(st.Targets) == len(sy.engines)+len(sy.services) && st.Generation >= ap.Generation
+			for _, ta := range st.Targets {
+				serving = serving && ta.State == core.Serving
+			}
+			return serving
+		}))
+	}
+	return ap
+}
+
+// announce brings a version to all engines.
+func (sy *system) announce(version uint64) {
+	sy.t.Helper()
+	require.NoError(sy.t, sy.entries[0].Announce(sy.ctx, "blend-lm", version))
+	for _, no := range sy.entries {
+		require.NoError(sy.t, no.Wait(sy.ctx, func(st trial.Status) bool {
+			for _, ta := range st.Targets {
+				if ta.Version != version && ta.Name[0] == 'b' {
+					return false
+				}
+			}
+			return true
+		}))
+	}
+}
+
+func (sy *system) check(entry int, body, key string) trial.Answer {
+	headers := map[string]string{"Bilberryshelf-Timeout": "10s"}
+	if key != "" {
+		headers["Idempotency-Key"] = key
+	}
+	return sy.entries[entry].Send(sy.ctx, "/services/lot-check/lots", body, headers)
+}
+
+func (sy *system) complete(entry int, prompt string, tokens int) trial.Answer {
+	body := fmt.Sprintf(`{"model":"blend-lm","prompt":%q,"max_tokens":%d,"stream":true}`, prompt, tokens)
+	return sy.entries[entry].Send(sy.ctx, "/v1/completions", body, nil)
+}
+
+// textOf is the text of a streamed answer, and whether it failed in the middle
+// or came to its end mark.
+func textOf(an trial.Answer) (text string, failed, whole bool) {
+	var stream engine.Stream
+	for _, ev := range stream.Feed([]byte(an.Body)) {
+		text += ev.Text
+		failed = failed || ev.Failed
+		whole = whole || ev.Last
+	}
+	return text, failed, whole && an.Err == nil
+}
+
+// runs counts how often a check was run, over all services.
+func (sy *system) runs(body string) int {
+	total := 0
+	for _, sv := range sy.services {
+		total += sv.Runs()[body]
+	}
+	return total
+}
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -322,6 +322,13 @@
 	return en.version
 }
 
+// Running is the number of sequences in progress.
+func (en *Engine) Running() int {
+	en.mutex.Lock()
+	defer en.mutex.Unlock()
+	return en.running
+}
+
 // Version is the version of the weights in use.
 func (en *Engine) Version() uint64 {
 	en.mutex.Lock()
--- a/fence/keep.go
+++ b/fence/keep.go
@@ -42,11 +42,8 @@
 	if err := cbor.Unmarshal(raw, &kept); err != nil {
 		return errors.Wrap(err, "keys of the former incarnation")
 	}
-	if ta.keys == nil {
-		ta.keys = map[string]*keyed{}
-	}
 	for _, kk := range kept {
-		ta.keys[kk.Key] = &keyed{digest: kk.Digest, phase: kk.Phase, outcome: kk.Outcome, until: kk.Until}
+		ta.recordKey(kk.Key, &keyed{digest: kk.Digest, phase: kk.Phase, outcome: kk.Outcome, until: kk.Until})
 	}
 	ta.Quarantine = time.Time{}
 	return nil
--- a/fence/table.go
+++ b/fence/table.go
@@ -159,12 +159,14 @@
 				WithRetryAfter(ta.Quarantine.Sub(now))
 		}
 		ta.record(ti)
-		if ta.keys == nil {
-			ta.keys = map[string]*keyed{}
-		}
-		ta.keys[ti.Key] = &keyed{digest: ti.Digest, phase: accepted, hold: ti.KeyHold, until: ti.Deadline.Add(ti.KeyHold)}
+		ta.recordKey(ti.Key, &keyed{digest: ti.Digest, phase: accepted, hold: ti.KeyHold, until: ti.Deadline.Add(ti.KeyHold)})
 		return Run, nil, nil
 	}
+	return ta.again(ke, ti)
+}
+
+// again decides on an attempt whose key is known.
+func (ta *Table) again(ke *keyed, ti Ticket) (Pass, any, *core.Error) {
 	switch { // rule 6
 	case ke.phase == forbidden:
 		return "", nil, core.Refuse(core.CodeKeyMoved, "the key was handed to another home")
@@ -184,6 +186,13 @@
 	return Replay, ke.answer, nil
 }
 
+func (ta *Table) recordKey(key string, ke *keyed) {
+	if ta.keys == nil {
+		ta.keys = map[string]*keyed{}
+	}
+	ta.keys[key] = ke
+}
+
 func (ta *Table) record(ti Ticket) {
 	if ta.attempts == nil {
 		ta.attempts = map[core.ID]*attempt{}
@@ -275,10 +284,7 @@
 	case !known && now.Before(ta.Quarantine):
 		return Unknown
 	case !known:
-		if ta.keys == nil {
-			ta.keys = map[string]*keyed{}
-		}
-		ta.keys[key] = &keyed{phase: forbidden, until: now.Add(hold)}
+		ta.recordKey(key, &keyed{phase: forbidden, until: now.Add(hold)})
 		return Forbidden
 	case ke.phase == forbidden:
 		return Forbidden
--- a/limit/gate.go
+++ b/limit/gate.go
@@ -61,9 +61,9 @@
 
 // Gate admits requests to one service.
 //
-//  1. At most Window items are in flight. The window grows by one for each
-//     window of served items while it is full, and shrinks when targets
-//     refuse for lack of room. It stays between Least and Most.
+//  1. At most Window items are in flight. The window starts at Most, shrinks
+//     when targets refuse for lack of room, and grows by one for each window of
+//     served items while it is full. It stays between Least and Most.
 //  2. Waiting items leave the queue by priority; inside a priority the tenant
 //     with the fewest items in flight goes first; inside a tenant the
 //     earliest deadline.
@@ -96,7 +96,7 @@
 // Window is the number of items allowed in flight at present.
 func (ga *Gate) Window() float64 {
 	if ga.window == 0 {
-		ga.window = max(ga.Least, 1)
+		ga.window = max(ga.Least, ga.Most, 1)
 	}
 	return ga.window
 }
--- a/retry/plan.go
+++ b/retry/plan.go
@@ -243,7 +243,7 @@
 // final reports the refusals that no other target would answer otherwise.
 func final(code core.Code) bool {
 	switch code {
-	case core.CodeKeyConflict, core.CodeNoLoan, core.CodePoison, core.CodeBadRequest:
+	case core.CodeKeyConflict, core.CodeNoLoan, core.CodePoison, core.CodeBadRequest, core.CodeQueueWait:
 		return true
 	default:
 		return false
--- /dev/null
+++ b/server/token.go
@@ -0,0 +1,33 @@
+package server
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+)
+
+// TokenHash is the hash of a token, for comparison in constant time.
+type TokenHash [sha256.Size]byte
+
+// HashToken hashes a token.
+func HashToken(token string) TokenHash { return sha256.Sum256([]byte(token)) }
+
+// Bears reports whether a request bears the token.
+func (ha TokenHash) Bears(req *http.Request) bool {
+	token, found := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
+	have := HashToken(token)
+	return found && subtle.ConstantTimeCompare(have[:], ha[:]) == 1
+}
+
+// RequireToken lets only requests that bear the token in.
+func RequireToken(token string, next http.Handler) http.Handler {
+	want := HashToken(token)
+	return http.HandlerFunc(func(out http.ResponseWriter, req *http.Request) {
+		if !want.Bears(req) {
+			http.Error(out, "unauthorized", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(out, req)
+	})
+}
--- a/subcmd/daemon.go
+++ b/subcmd/daemon.go
@@ -1,6 +1,7 @@
 package subcmd
 
 import (
+	"context"
 	"os"
 	"syscall"
 
@@ -9,13 +10,8 @@
 	"github.com/go-kit/log/level"
 	"github.com/oklog/run"
 
-	"bilberryshelf/core"
-	"bilberryshelf/entry"
-	"bilberryshelf/guard"
-	"bilberryshelf/meter"
-	"bilberryshelf/server"
+	"bilberryshelf/boot"
 	"bilberryshelf/setup"
-	"bilberryshelf/store"
 )
 
 // daemonFlags are common to both daemons.
@@ -30,46 +26,18 @@
 	return level.NewFilter(lg, level.Allow(level.ParseDefault(da.LogLevel, level.InfoValue())))
 }
 
-func platformOf(pl setup.Platform) (*store.Table, *store.Objects, *store.List) {
-	access := func(url string) store.Access {
-		return store.Access{URL: url, KeyID: pl.KeyID, Secret: secretOf(pl), Timeout: pl.Timeout.Std()}
-	}
-	return store.NewTable(access(pl.TablesURL), pl.Table),
-		store.NewObjects(access(pl.ObjectsURL), pl.Bucket),
-		store.NewList(access(pl.InstancesURL))
-}
-
-func secretOf(pl setup.Platform) string {
-	if pl.SecretEnv == "" {
-		return pl.KeyID
-	}
-	return os.Getenv(pl.SecretEnv)
-}
-
-// part is a daemon that runs until it is stopped and has drained.
-type part interface {
-	Run() error
-	Stop()
-	Done() <-chan struct{}
-}
-
 // group runs a daemon with its servers. A signal stops the daemon; when it has
 // drained, the servers close.
-func group(da part, servers ...*server.Server) error {
+func group(da boot.Daemon) error {
 	var gr run.Group
-	gr.Add(da.Run, func(error) {
-		da.Stop()
-		<-da.Done()
+	gr.Add(da.Part.Run, func(error) {
+		da.Part.Stop()
+		<-da.Part.Done()
 	})
-	for _, se := range servers {
+	for _, se := range da.Servers {
 		gr.Add(se.Run, se.Close)
 	}
-	signals := make(chan struct{})
-	execute, interrupt := run.SignalHandler(signalContext(signals), os.Interrupt, syscall.SIGTERM)
-	gr.Add(execute, func(err error) {
-		close(signals)
-		interrupt(err)
-	})
+	gr.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
 	err := gr.Run()
 	var signal run.SignalError
 	if errors.As(err, &signal) {
@@ -88,28 +56,11 @@
 	if err != nil {
 		return exit(ExitUsage, err)
 	}
-	en, servers, err := newEntry(se, co.logger())
+	da, err := boot.Entry(se, co.logger())
 	if err != nil {
 		return err
 	}
-	return group(en, servers...)
-}
-
-func newEntry(se setup.Entry, lg log.Logger) (*entry.Entry, []*server.Server, error) {
-	tables, objects, list := platformOf(se.Platform)
-	en := entry.New(se, core.SystemClock{}, lg, &meter.Set{}, entry.Platform{Tables: tables, Objects: objects, List: list})
-	outer := &server.Server{
-		Handler: en.Handler(), MaxHeader: int(se.Limits.MaxHeader), MaxConnections: se.Limits.MaxConnections,
-		HeaderTimeout: se.Timing.ReadTimeout.Std(),
-	}
-	inner := &server.Server{Handler: en.InnerHandler(), Plain2: true}
-	if err := outer.Listen(se.Listen); err != nil {
-		return nil, nil, err
-	}
-	if err := inner.Listen(se.InnerListen); err != nil {
-		return nil, nil, err
-	}
-	return en, []*server.Server{outer, inner}, nil
+	return group(da)
 }
 
 type guardCommand struct {
@@ -122,20 +73,9 @@
 	if err != nil {
 		return exit(ExitUsage, err)
 	}
-	gu, servers, err := newGuard(se, co.logger())
+	da, err := boot.Guard(se, co.logger())
 	if err != nil {
 		return err
 	}
-	return group(gu, servers...)
-}
-
-func newGuard(se setup.Guard, lg log.Logger) (*guard.Guard, []*server.Server, error) {
-	tables, objects, _ := platformOf(se.Platform)
-	me := &meter.Set{}
-	gu := guard.New(se, core.SystemClock{}, lg, me, tables, objects)
-	inner := &server.Server{Handler: guardHandler(gu, se, me), Plain2: true}
-	if err := inner.Listen(se.Listen); err != nil {
-		return nil, nil, err
-	}
-	return gu, []*server.Server{inner}, nil
+	return group(da)
 }
