--- a/boot/boot.go
+++ b/boot/boot.go
@@ -15,6 +15,7 @@
 	"bilberryshelf/server"
 	"bilberryshelf/setup"
 	"bilberryshelf/store"
+	"bilberryshelf/wire"
 	"bilberryshelf/wire/wireconnect"
 )
 
@@ -69,6 +70,7 @@
 	mux := http.NewServeMux()
 	path, handler := wireconnect.NewGuardServiceHandler(gu)
 	mux.Handle(path, server.RequireToken(se.Token.Secret(), handler))
+	mux.Handle("POST "+wire.DispatchPath, server.RequireToken(se.Token.Secret(), gu))
 	mux.HandleFunc("GET /healthz", func(out http.ResponseWriter, _ *http.Request) { out.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(out http.ResponseWriter, _ *http.Request) {
 		if !gu.Ready() {
--- a/docs/processes.sh
+++ b/docs/processes.sh
@@ -36,7 +36,7 @@
 lab() { "$dir/bilberrylab" "$@"; }
 start platform "$dir/bilberrylab" platform --listen 127.0.0.1:9100
 for n in 1 2; do start "engine-$n" "$dir/bilberrylab" engine --listen "127.0.0.1:920$n"; done
-for n in 1 2; do start "service-$n" "$dir/bilberrylab" service --listen "127.0.0.1:930$n"; done
+for n in 1 2; do start "service-$n" "$dir/bilberrylab" service --listen "127.0.0.1:930$n" --takes "${TAKES:-5ms}"; done
 up http://127.0.0.1:9100/instances
 for n in 1 2; do guard "blend-lm-0$n" blend-lm "recife-$([ $n = 1 ] && echo a || echo b)" "910$n" "http://127.0.0.1:920$n" true; done
 for n in 1 2; do guard "lot-check-0$n" lot-check recife-a "911$n" "http://127.0.0.1:930$n" false; done
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -1,12 +1,16 @@
 package entry
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"bilberryshelf/core"
 	"bilberryshelf/retry"
@@ -42,20 +46,31 @@
 	co.Mine.Add(1)
 	defer co.Mine.Add(-1)
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	unwatch := context.AfterFunc(co.lost, cancel)
 	defer unwatch()
 
 	began := en.clock.Now()
-	stream, err := co.client.Dispatch(ctx, en.dispatch(ch))
+	body, err := en.post(ctx, co, en.dispatch(ch))
 	if err != nil {
+		cancel()
 		return outcome{report: cut(rq, err)}
 	}
-	defer stream.Close() //nolint:errcheck // the answer was judged by its end frame
 	var oc outcome
+	defer func() {
+		if !oc.whole() {
+			cancel() // nobody listens to the rest
+		}
+		go finishBody(body, cancel)
+	}()
 	fr := frames{rc: ch.rc, target: co.Name, id: ch.id, hash: xxhash.New()}
-	for stream.Receive() {
-		done, re := fr.take(stream.Msg())
+	in := wire.NewFrameReader(body)
+	for {
+		frame, err := in.Next()
+		if err != nil {
+			oc.report = cut(rq, err)
+			return oc
+		}
+		done, re := fr.take(frame)
 		if fr.began && oc.first == 0 {
 			oc.first = en.clock.Now().Sub(began)
 		}
@@ -64,8 +79,37 @@
 			return oc
 		}
 	}
-	oc.report = cut(rq, stream.Err())
-	return oc
+}
+
+// post sends a dispatch and returns the body of the answer.
+func (en *Entry) post(ctx context.Context, co *contact, req *wire.DispatchRequest) (io.ReadCloser, error) {
+	raw, err := proto.Marshal(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "dispatch")
+	}
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+co.Addr+wire.DispatchPath, bytes.NewReader(raw))
+	if err != nil {
+		return nil, errors.Wrap(err, "dispatch")
+	}
+	hr.Header.Set("Authorization", "Bearer "+en.nodeKey)
+	hr.Header.Set("Content-Type", wire.DispatchType)
+	res, err := en.inner.Do(hr)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode != http.StatusOK {
+		_ = res.Body.Close()
+		return nil, errors.Newf("the guard answered with status %d", res.StatusCode)
+	}
+	return res.Body, nil
+}
+
+// finishBody reads what follows the end of an answer, so that the connection
+// can be used again.
+func finishBody(body io.ReadCloser, cancel context.CancelFunc) {
+	defer cancel()
+	_, _ = io.Copy(io.Discard, body)
+	_ = body.Close()
 }
 
 // cut reports a stream that ended without an end. A guard that takes no
@@ -131,6 +175,8 @@
 	switch frame := msg.Frame.(type) {
 	case *wire.DispatchFrame_Refusal:
 		return true, refused(frame.Refusal)
+	case *wire.DispatchFrame_Whole:
+		return fr.takeWhole(frame.Whole)
 	case *wire.DispatchFrame_Head:
 		if !fr.mine(frame.Head.Id) {
 			return true, crossed()
@@ -154,6 +200,20 @@
 	return true, crossed()
 }
 
+// takeWhole takes an answer that came in one frame.
+func (fr *frames) takeWhole(wh *wire.Whole) (bool, retry.Report) {
+	for _, part := range []*wire.DispatchFrame{
+		{Frame: &wire.DispatchFrame_Head{Head: wh.Head}},
+		{Frame: &wire.DispatchFrame_Chunk{Chunk: wh.Chunk}},
+		{Frame: &wire.DispatchFrame_End{End: wh.End}},
+	} {
+		if done, re := fr.take(part); done {
+			return done, re
+		}
+	}
+	return true, crossed()
+}
+
 func (fr *frames) mine(id []byte) bool { return string(id) == string(fr.id[:]) }
 
 func (fr *frames) failed(er *core.Error) (bool, retry.Report) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -150,17 +150,19 @@
 	return en
 }
 
-// innerClient speaks HTTP/2 without TLS to guards and other entries.
+// innerClient speaks to guards and other entries: HTTP/1.1 with kept
+// connections, on which an answer passes through fewer goroutines than on a
+// shared HTTP/2 connection.
 func innerClient() *http.Client {
-	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
 	return &http.Client{Transport: &http.Transport{
-		Protocols: &protocols, DisableCompression: true, IdleConnTimeout: time.Minute,
+		DisableCompression: true, IdleConnTimeout: time.Minute, MaxIdleConnsPerHost: idlePerHost,
 		DialContext: dialer.DialContext,
-		HTTP2:       &http.HTTP2Config{MaxReadFrameSize: 1 << 20},
 	}}
 }
 
+// idlePerHost is the most unused connections kept to one instance.
+const idlePerHost = 64
+
 // Run serves until Stop and a graceful shutdown: first it tells the balancer
 // and the instances that it is leaving, then it waits for what runs.
 func (en *Entry) Run() error {
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -181,7 +181,7 @@
 	re = &remote{
 		inst: in, chosen: chosen, mine: &atomic.Int64{}, cancel: cancel,
 		kick:   make(chan struct{}, 1),
-		client: wireconnect.NewGuardServiceClient(en.inner, "http://"+in.Addr, connect.WithInterceptors(bearer(en.nodeKey))),
+		client: wireconnect.NewGuardServiceClient(en.inner, "http://"+in.Addr, en.clientOptions()...),
 	}
 	re.lost, re.loseNow = context.WithCancel(context.Background())
 	en.remotes[in.Name] = re
@@ -338,6 +338,15 @@
 	return co, co != nil && co.Incarnation != 0
 }
 
+// clientOptions are those of all inner clients. What is worth compressing is
+// compressed already.
+func (en *Entry) clientOptions() []connect.ClientOption {
+	return []connect.ClientOption{
+		connect.WithInterceptors(bearer(en.nodeKey)),
+		connect.WithAcceptCompression("gzip", nil, nil),
+	}
+}
+
 // bearer adds the nodes' token to every call.
 func bearer(key string) connect.Interceptor {
 	return &bearerInterceptor{key: "Bearer " + key}
--- a/entry/spread.go
+++ b/entry/spread.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/go-kit/log/level"
 
 	"bilberryshelf/core"
@@ -22,7 +21,7 @@
 const mostSuspects = 64
 
 func (en *Entry) peer(addr string) wireconnect.PeerServiceClient {
-	return wireconnect.NewPeerServiceClient(en.inner, "http://"+addr, connect.WithInterceptors(bearer(en.nodeKey)))
+	return wireconnect.NewPeerServiceClient(en.inner, "http://"+addr, en.clientOptions()...)
 }
 
 // addPeer remembers another entry. It runs on the loop. The map is shared with
--- a/fence/table.go
+++ b/fence/table.go
@@ -127,6 +127,7 @@
 
 	attempts map[core.ID]*attempt
 	keys     map[string]*keyed
+	lapses   lapses
 	used     int
 }
 
@@ -191,13 +192,19 @@
 		ta.keys = map[string]*keyed{}
 	}
 	ta.keys[key] = ke
+	ta.lapses.push(lapse{at: ke.until, key: key})
 }
 
 func (ta *Table) record(ti Ticket) {
+	ta.keepAttempt(ti.ID, &attempt{phase: accepted, deadline: ti.Deadline, key: ti.Key})
+}
+
+func (ta *Table) keepAttempt(id core.ID, at *attempt) {
 	if ta.attempts == nil {
 		ta.attempts = map[core.ID]*attempt{}
 	}
-	ta.attempts[ti.ID] = &attempt{phase: accepted, deadline: ti.Deadline, key: ti.Key}
+	ta.attempts[id] = at
+	ta.lapses.push(lapse{at: at.deadline.Add(ta.Grace), id: id})
 }
 
 // Commit is called right before the first byte goes to the target. It refuses
@@ -256,10 +263,7 @@
 	if now.After(deadline.Add(ta.Grace)) {
 		return Unknown
 	}
-	if ta.attempts == nil {
-		ta.attempts = map[core.ID]*attempt{}
-	}
-	ta.attempts[id] = &attempt{phase: forbidden, deadline: deadline}
+	ta.keepAttempt(id, &attempt{phase: forbidden, deadline: deadline})
 	return Forbidden
 }
 
@@ -296,25 +300,46 @@
 	return Unknown
 }
 
-// Sweep forgets what has lapsed and returns how many attempts and keys remain.
-// Runs in progress are never forgotten.
-func (ta *Table) Sweep(now time.Time) (attempts, keys int) {
-	for id, at := range ta.attempts {
-		over := at.phase == finished || at.phase == forbidden
-		if over && now.After(at.deadline.Add(ta.Grace)) {
-			delete(ta.attempts, id)
+// Sweep forgets what has lapsed, at most the given number, and returns how
+// many attempts and keys remain. Runs in progress are never forgotten.
+func (ta *Table) Sweep(now time.Time, most int) (attempts, keys int) {
+	for range most {
+		la, found := ta.lapses.pop(now)
+		if !found {
+			break
 		}
-	}
-	for na, ke := range ta.keys {
-		over := ke.phase == finished || ke.phase == forbidden
-		if over && now.After(ke.until) {
-			ta.used -= ke.size
-			delete(ta.keys, na)
+		if la.key != "" {
+			ta.sweepKey(now, la.key)
+		} else {
+			ta.sweepAttempt(now, la.id)
 		}
 	}
 	return len(ta.attempts), len(ta.keys)
 }
 
+func (ta *Table) sweepAttempt(now time.Time, id core.ID) {
+	at := ta.attempts[id]
+	if at.phase == finished || at.phase == forbidden {
+		delete(ta.attempts, id)
+		return
+	}
+	ta.lapses.push(lapse{at: now.Add(ta.Grace), id: id})
+}
+
+func (ta *Table) sweepKey(now time.Time, key string) {
+	ke := ta.keys[key]
+	switch {
+	case ke == nil:
+	case ke.phase != finished && ke.phase != forbidden:
+		ta.lapses.push(lapse{at: now.Add(ta.Grace), key: key})
+	case now.Before(ke.until):
+		ta.lapses.push(lapse{at: ke.until, key: key})
+	default:
+		ta.used -= ke.size
+		delete(ta.keys, key)
+	}
+}
+
 // Release drops the kept answer of a key whose receipt is confirmed. The key
 // itself stays until it lapses.
 func (ta *Table) Release(key string) {
--- a/fence/table_test.go
+++ b/fence/table_test.go
@@ -155,9 +155,9 @@
 			ta.Finish(at(nu), ti.ID, fence.Done, nil, 0)
 		}
 	}
-	attempts, _ := ta.Sweep(at(200))
+	attempts, _ := ta.Sweep(at(200), 1000)
 	require.Equal(t, 1+50, attempts, "one runs, fifty are within deadline and grace")
-	attempts, _ = ta.Sweep(at(10000))
+	attempts, _ = ta.Sweep(at(10000), 1000)
 	require.Equal(t, 1, attempts)
 }
 
@@ -241,3 +241,18 @@
 func id(number int) core.ID {
 	return core.ID{byte(number), byte(number >> 8), byte(number >> 16), byte(number >> 24)}
 }
+
+// A turn of the loop forgets no more than it is told to, however much has
+// lapsed, so that no request waits for a large table.
+func TestSweepIsBounded(t *testing.T) {
+	ta := table()
+	for nu := range 1000 {
+		ta.Settle(at(0), id(nu), 7, at(50))
+	}
+	attempts, _ := ta.Sweep(at(1000), 10)
+	require.Equal(t, 990, attempts)
+	for range 99 {
+		attempts, _ = ta.Sweep(at(1000), 10)
+	}
+	require.Zero(t, attempts)
+}
--- a/guard/admit.go
+++ b/guard/admit.go
@@ -25,6 +25,7 @@
 // limits, before the table records it.
 func (gu *Guard) admit(req *wire.DispatchRequest, id core.ID) admission {
 	now := gu.clock.Now()
+	gu.table.Sweep(now, sweepFew)
 	ti := gu.ticket(req, id)
 	known := ti.Key != "" && gu.table.Knows(ti.Key)
 	if !known {
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -7,12 +7,14 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
 
 	"bilberryshelf/core"
 	"bilberryshelf/engine"
@@ -34,8 +36,24 @@
 	Send(frame *wire.DispatchFrame) error
 }
 
-// Dispatch runs one attempt.
-func (gu *Guard) Dispatch(ctx context.Context, req *wire.DispatchRequest, out *connect.ServerStream[wire.DispatchFrame]) error {
+// ServeHTTP runs one attempt: a POST of a DispatchRequest.
+func (gu *Guard) ServeHTTP(out http.ResponseWriter, hr *http.Request) {
+	raw, err := io.ReadAll(hr.Body)
+	req := &wire.DispatchRequest{}
+	if err == nil {
+		err = proto.Unmarshal(raw, req)
+	}
+	if err != nil {
+		http.Error(out, "no dispatch request", http.StatusBadRequest)
+		return
+	}
+	if er := gu.dispatch(hr.Context(), req, wire.NewFrameWriter(out)); er != nil {
+		panic(http.ErrAbortHandler) // the entry must not take it for an end
+	}
+}
+
+// dispatch runs one attempt and sends its answer or refusal.
+func (gu *Guard) dispatch(ctx context.Context, req *wire.DispatchRequest, out sender) error {
 	id, err := core.ParseID(req.Id)
 	if err != nil {
 		return out.Send(refusalFrame(req.Id, core.Refuse(core.CodeBadRequest, "%v", err)))
@@ -50,7 +68,7 @@
 		return nil
 	}
 	gu.meters.Count("refused", string(er.Code), 1)
-	level.Debug(gu.logger).Log("event", "refused", "request", string(req.Id), "loan", req.Loan, "code", er.Code, "verdict", er.Verdict)
+	level.Debug(gu.logger).Log("event", "refused", "request", id, "loan", req.Loan, "code", er.Code, "verdict", er.Verdict)
 	return out.Send(refusalFrame(req.Id, er))
 }
 
@@ -81,16 +99,9 @@
 func (gu *Guard) replay(id []byte, an *answer, out sender) *core.Error {
 	head := &wire.Head{Id: id, Status: an.head.Status, Headers: an.head.Headers, Replayed: true}
 	end := &wire.End{Id: id, Length: an.end.Length, Digest: an.end.Digest, Segments: an.end.Segments}
-	frames := []*wire.DispatchFrame{
-		{Frame: &wire.DispatchFrame_Head{Head: head}},
-		{Frame: &wire.DispatchFrame_Chunk{Chunk: an.body}},
-		{Frame: &wire.DispatchFrame_End{End: end}},
-	}
-	for _, fr := range frames {
-		if out.Send(fr) != nil {
-			return nil // the entry went away; the answer stays kept
-		}
-	}
+	whole := &wire.Whole{Head: head, Chunk: an.body, End: end}
+	// An entry that went away gets it another time; the answer stays kept.
+	_ = out.Send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_Whole{Whole: whole}})
 	return nil
 }
 
@@ -117,7 +128,7 @@
 	if oc == fence.Lost {
 		er = gu.explain(ctx, ru, er)
 	}
-	gu.loop.Do(func() { gu.finish(ru, oc, an) })
+	gu.loop.Post(func() { gu.finish(ru, oc, an) })
 	return er
 }
 
@@ -155,16 +166,17 @@
 		return nil, busy
 	}
 	head := &wire.Head{Id: req.Id, Status: int32(res.StatusCode), Headers: wireHeaders(res.Header)}
-	pa := passage{out: out, clock: gu.clock, labels: ru.labels, keep: ru.key != "", most: int(gu.settings.Limits.MaxAnswer), hash: xxhash.New()}
-	pa.send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_Head{Head: head}})
-	if err := pa.copy(res.Body); err != nil {
+	events := strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
+	pa := passage{out: out, events: events, clock: gu.clock, labels: ru.labels, keep: ru.key != "", most: int(gu.settings.Limits.MaxAnswer), hash: xxhash.New()}
+	pa.head = head
+	if err := pa.copy(res.Body, pa.events); err != nil {
 		return nil, core.Doubt(core.CodeAnswerCut, "the target's answer was cut: %v", err)
 	}
 	end := &wire.End{Id: req.Id, Length: pa.length, Digest: pa.hash.Sum64()}
 	if ru.sample {
 		end.Segments = gu.segments(ru, pa.segments, pa.ended)
 	}
-	pa.send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_End{End: end}})
+	pa.close(end)
 	if !pa.keep {
 		return nil, nil
 	}
@@ -209,6 +221,12 @@
 type passage struct {
 	out   sender
 	clock core.Clock
+	head  *wire.Head
+	// events says that the answer is a stream of events.
+	events bool
+	begun  bool
+	// first is the first chunk of an answer that may be short.
+	first []byte
 	// labels is set for samples.
 	labels   *labels
 	gone     bool
@@ -228,22 +246,32 @@
 	}
 }
 
-func (pa *passage) copy(body io.Reader) error {
-	buf := make([]byte, chunkSize)
+// copy reads the answer to its end. A stream of events is passed on as it
+// comes; anything else is passed on in chunks, or in one frame if it is short.
+func (pa *passage) copy(body io.Reader, events bool) error {
+	buf := chunks.Get().(*[chunkSize]byte)
+	defer chunks.Put(buf)
+	filled := 0
 	for {
-		count, err := body.Read(buf)
-		if count > 0 {
-			pa.take(buf[:count])
+		count, err := body.Read(buf[filled:])
+		filled += count
+		ended := errors.Is(err, io.EOF)
+		if err != nil && !ended {
+			return err
 		}
-		if errors.Is(err, io.EOF) {
-			return nil
+		if filled > 0 && (events || ended || filled == chunkSize) {
+			pa.take(buf[:filled])
+			filled = 0
 		}
-		if err != nil {
-			return err
+		if ended {
+			return nil
 		}
 	}
 }
 
+// chunks keeps the buffers of answers that are over.
+var chunks = sync.Pool{New: func() any { return new([chunkSize]byte) }}
+
 func (pa *passage) take(raw []byte) {
 	pa.length += int64(len(raw))
 	_, _ = pa.hash.Write(raw)
@@ -256,9 +284,38 @@
 	if pa.keep {
 		pa.kept = append(pa.kept, raw...)
 	}
+	if pa.first == nil && !pa.begun && !pa.events {
+		pa.first = bytes.Clone(raw) // it may be all there is
+		return
+	}
+	pa.begin()
 	pa.send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_Chunk{Chunk: raw}})
 }
 
+// begin sends the head and what was held back, once.
+func (pa *passage) begin() {
+	if pa.begun {
+		return
+	}
+	pa.begun = true
+	pa.send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_Head{Head: pa.head}})
+	if pa.first != nil {
+		pa.send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_Chunk{Chunk: pa.first}})
+		pa.first = nil
+	}
+}
+
+// close sends the end, or all in one frame.
+func (pa *passage) close(end *wire.End) {
+	if !pa.begun && !pa.events {
+		whole := &wire.Whole{Head: pa.head, Chunk: pa.first, End: end}
+		pa.send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_Whole{Whole: whole}})
+		return
+	}
+	pa.begin()
+	pa.send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_End{End: end}})
+}
+
 // note adds the versions that the engine reports, joined into segments.
 func (pa *passage) note(events []engine.Event) {
 	for _, ev := range events {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -185,7 +185,7 @@
 
 func (gu *Guard) sweep() {
 	now := gu.clock.Now()
-	attempts, keys := gu.table.Sweep(now)
+	attempts, keys := gu.table.Sweep(now, sweepMost)
 	gu.meters.Gauge("attempts-known", "", int64(attempts))
 	gu.meters.Gauge("keys-known", "", int64(keys))
 	gu.meters.Gauge("in-flight", "", int64(len(gu.running)))
@@ -195,6 +195,13 @@
 	}
 }
 
+// sweepMost bounds what is forgotten in one turn of the loop; each admission
+// forgets sweepFew more, so that the table keeps up with its growth.
+const (
+	sweepMost = 1024
+	sweepFew  = 4
+)
+
 // workForget is the part of the observed length of work that is forgotten at
 // every health check.
 const workForget = 256
--- a/retry/model_test.go
+++ b/retry/model_test.go
@@ -451,7 +451,7 @@
 
 func (wo *world) sweep() {
 	for _, gu := range wo.guards {
-		gu.table.Sweep(wo.now)
+		gu.table.Sweep(wo.now, 1000)
 	}
 }
 
--- a/wire/wireconnect/wire.connect.go
+++ b/wire/wireconnect/wire.connect.go
@@ -36,8 +36,6 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
-	// GuardServiceDispatchProcedure is the fully-qualified name of the GuardService's Dispatch RPC.
-	GuardServiceDispatchProcedure = "/bilberryshelf.wire.GuardService/Dispatch"
 	// GuardServiceSettleProcedure is the fully-qualified name of the GuardService's Settle RPC.
 	GuardServiceSettleProcedure = "/bilberryshelf.wire.GuardService/Settle"
 	// GuardServiceHelloProcedure is the fully-qualified name of the GuardService's Hello RPC.
@@ -52,10 +50,6 @@
 
 // GuardServiceClient is a client for the bilberryshelf.wire.GuardService service.
 type GuardServiceClient interface {
-	// Dispatch runs one attempt of a request on the target. The answer is a
-	// head, chunks and an end; a stream that stops without an end or a refusal
-	// was cut and is never a whole answer.
-	Dispatch(context.Context, *wire.DispatchRequest) (*connect.ServerStreamForClient[wire.DispatchFrame], error)
 	// Settle asks what became of an attempt and forbids it if it never arrived.
 	Settle(context.Context, *wire.SettleRequest) (*wire.SettleResponse, error)
 	// Hello is the heartbeat between an entry and a guard. It carries the load
@@ -74,12 +68,6 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	guardServiceMethods := wire.File_wire_wire_proto.Services().ByName("GuardService").Methods()
 	return &guardServiceClient{
-		dispatch: connect.NewClient[wire.DispatchRequest, wire.DispatchFrame](
-			httpClient,
-			baseURL+GuardServiceDispatchProcedure,
-			connect.WithSchema(guardServiceMethods.ByName("Dispatch")),
-			connect.WithClientOptions(opts...),
-		),
 		settle: connect.NewClient[wire.SettleRequest, wire.SettleResponse](
 			httpClient,
 			baseURL+GuardServiceSettleProcedure,
@@ -97,14 +85,8 @@
 
 // guardServiceClient implements GuardServiceClient.
 type guardServiceClient struct {
-	dispatch *connect.Client[wire.DispatchRequest, wire.DispatchFrame]
-	settle   *connect.Client[wire.SettleRequest, wire.SettleResponse]
-	hello    *connect.Client[wire.HelloRequest, wire.HelloResponse]
-}
-
-// Dispatch calls bilberryshelf.wire.GuardService.Dispatch.
-func (c *guardServiceClient) Dispatch(ctx context.Context, req *wire.DispatchRequest) (*connect.ServerStreamForClient[wire.DispatchFrame], error) {
-	return c.dispatch.CallServerStream(ctx, connect.NewRequest(req))
+	settle *connect.Client[wire.SettleRequest, wire.SettleResponse]
+	hello  *connect.Client[wire.HelloRequest, wire.HelloResponse]
 }
 
 // Settle calls bilberryshelf.wire.GuardService.Settle.
@@ -127,10 +109,6 @@
 
 // GuardServiceHandler is an implementation of the bilberryshelf.wire.GuardService service.
 type GuardServiceHandler interface {
-	// Dispatch runs one attempt of a request on the target. The answer is a
-	// head, chunks and an end; a stream that stops without an end or a refusal
-	// was cut and is never a whole answer.
-	Dispatch(context.Context, *wire.DispatchRequest, *connect.ServerStream[wire.DispatchFrame]) error
 	// Settle asks what became of an attempt and forbids it if it never arrived.
 	Settle(context.Context, *wire.SettleRequest) (*wire.SettleResponse, error)
 	// Hello is the heartbeat between an entry and a guard. It carries the load
@@ -145,12 +123,6 @@
 // and JSON codecs. They also support gzip compression.
 func NewGuardServiceHandler(svc GuardServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	guardServiceMethods := wire.File_wire_wire_proto.Services().ByName("GuardService").Methods()
-	guardServiceDispatchHandler := connect.NewServerStreamHandlerSimple(
-		GuardServiceDispatchProcedure,
-		svc.Dispatch,
-		connect.WithSchema(guardServiceMethods.ByName("Dispatch")),
-		connect.WithHandlerOptions(opts...),
-	)
 	guardServiceSettleHandler := connect.NewUnaryHandlerSimple(
 		GuardServiceSettleProcedure,
 		svc.Settle,
@@ -165,8 +137,6 @@
 	)
 	return "/bilberryshelf.wire.GuardService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
-		case GuardServiceDispatchProcedure:
-			guardServiceDispatchHandler.ServeHTTP(w, r)
 		case GuardServiceSettleProcedure:
 			guardServiceSettleHandler.ServeHTTP(w, r)
 		case GuardServiceHelloProcedure:
@@ -180,10 +150,6 @@
 // UnimplementedGuardServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedGuardServiceHandler struct{}
 
-func (UnimplementedGuardServiceHandler) Dispatch(context.Context, *wire.DispatchRequest, *connect.ServerStream[wire.DispatchFrame]) error {
-	return connect.NewError(connect.CodeUnimplemented, errors.New("bilberryshelf.wire.GuardService.Dispatch is not implemented"))
-}
-
 func (UnimplementedGuardServiceHandler) Settle(context.Context, *wire.SettleRequest) (*wire.SettleResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bilberryshelf.wire.GuardService.Settle is not implemented"))
 }
