--- a/bench/bench.go
+++ b/bench/bench.go
@@ -50,6 +50,18 @@
 		"cost", "measure what the path adds", "Compares calls through an entry with calls to the target itself, in turn, in one run.",
 		func(out io.Writer) any { return &costCommand{out: out} },
 	},
+	{
+		"idle", "watch what processes use", "Processor time, memory and inner bytes of processes that do nothing but control.",
+		func(out io.Writer) any { return &idleCommand{out: out} },
+	},
+	{
+		"spread", "time the spread of changes", "Applies sheets at one entry and watches them arrive at all.",
+		func(out io.Writer) any { return &spreadCommand{out: out} },
+	},
+	{
+		"slopes", "measure what each part of the state and work costs", "Measures over several sizes, fits lines, and writes slopes.json and the plots of docs/CAPACITY.md.",
+		func(out io.Writer) any { return &slopesCommand{out: out} },
+	},
 	{
 		"checks", "send non-idempotent checks while things fail", "Sends keyed and unkeyed checks through several entries and compares every verdict with what the services ran.",
 		func(out io.Writer) any { return &checksCommand{out: out} },
--- /dev/null
+++ b/bench/slope.go
@@ -0,0 +1,212 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// slope is one measurement over several sizes. The table of slopes in
+// measure.go is the whole of what is measured for docs/CAPACITY.md.
+type slope struct {
+	id    string
+	title string
+	// x and y name the units.
+	x, y    string
+	sizes   []int
+	repeat  int
+	measure func(size int) (float64, error)
+}
+
+// Point is one measurement.
+type Point struct {
+	X float64 `json:"x"`
+	Y float64 `json:"y"`
+}
+
+// Fit is a slope as it was measured.
+type Fit struct {
+	ID     string  `json:"id"`
+	Title  string  `json:"title"`
+	XUnit  string  `json:"x-unit"`
+	YUnit  string  `json:"y-unit"`
+	Points []Point `json:"points"`
+	// Base and Slope are those of the fitted line.
+	Base  float64 `json:"base"`
+	Slope float64 `json:"slope"`
+	// Straight is the share of the variance that the line explains.
+	Straight float64 `json:"r-squared"`
+	// Spread is the largest distance of a point from the line, as a share of
+	// the line's value at the largest size.
+	Spread float64 `json:"spread"`
+}
+
+// fit lays a line through the points.
+func fit(sl slope, points []Point) Fit {
+	xs, ys := make([]float64, len(points)), make([]float64, len(points))
+	for at, po := range points {
+		xs[at], ys[at] = po.X, po.Y
+	}
+	base, rise := stat.LinearRegression(xs, ys, nil, false)
+	fi := Fit{
+		ID: sl.id, Title: sl.title, XUnit: sl.x, YUnit: sl.y, Points: points, Base: base, Slope: rise,
+		Straight: stat.RSquared(xs, ys, nil, base, rise),
+	}
+	top := 0.0
+	for _, po := range points {
+		top = math.Max(top, math.Abs(base+rise*po.X))
+	}
+	for _, po := range points {
+		fi.Spread = math.Max(fi.Spread, math.Abs(po.Y-base-rise*po.X)/top)
+	}
+	return fi
+}
+
+func (sl slope) run() (Fit, error) {
+	var points []Point
+	for _, size := range sl.sizes {
+		for range max(sl.repeat, 1) {
+			value, err := sl.measure(size)
+			if err != nil {
+				return Fit{}, errors.Wrapf(err, "%s at %d", sl.id, size)
+			}
+			points = append(points, Point{X: float64(size), Y: value})
+		}
+	}
+	return fit(sl, points), nil
+}
+
+type slopesCommand struct {
+	Into string   `long:"into" default:"docs/capacity" description:"folder for slopes.json and the plots"`
+	Only []string `long:"only" description:"measure just these again and keep the others"`
+	out  io.Writer
+}
+
+// slopesFile is the name of the file of all slopes.
+const slopesFile = "slopes.json"
+
+// Execute measures, and writes the file and the plots.
+func (co *slopesCommand) Execute([]string) error {
+	kept := map[string]Fit{}
+	if len(co.Only) > 0 {
+		fits, err := ReadSlopes(filepath.Join(co.Into, slopesFile))
+		if err != nil {
+			return err
+		}
+		for _, fi := range fits {
+			kept[fi.ID] = fi
+		}
+		for _, id := range co.Only {
+			delete(kept, id)
+		}
+	}
+	var fits []Fit
+	for _, sl := range slopes {
+		fi, found := kept[sl.id]
+		if !found {
+			var err error
+			if fi, err = sl.run(); err != nil {
+				return err
+			}
+			fmt.Fprintf(co.out, "%-16s %12.4g %s per %s, base %.4g, r2 %.3f, spread %.0f%%\n", //nolint:errcheck // output
+				fi.ID, fi.Slope, fi.YUnit, fi.XUnit, fi.Base, fi.Straight, fi.Spread*100)
+			if err := fi.plot(co.Into); err != nil {
+				return err
+			}
+		}
+		fits = append(fits, fi)
+	}
+	raw, err := json.MarshalIndent(fits, "", " ")
+	if err != nil {
+		return errors.Wrap(err, "slopes")
+	}
+	return errors.Wrap(os.WriteFile(filepath.Join(co.Into, slopesFile), append(raw, '\n'), 0o644), "slopes") //nolint:gosec // a file to be read by all
+}
+
+// ReadSlopes reads what the command wrote.
+func ReadSlopes(file string) ([]Fit, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "slopes")
+	}
+	var fits []Fit
+	return fits, errors.Wrap(json.Unmarshal(raw, &fits), "slopes")
+}
+
+const (
+	plotWidth  = 12 * vg.Centimeter
+	plotHeight = 8 * vg.Centimeter
+)
+
+// plot draws the points and the line.
+func (fi Fit) plot(folder string) error {
+	pl := plot.New()
+	pl.Title.Text = fi.Title
+	pl.X.Label.Text, pl.Y.Label.Text = fi.XUnit, fi.YUnit
+	points := make(plotter.XYs, len(fi.Points))
+	for at, po := range fi.Points {
+		points[at].X, points[at].Y = po.X, po.Y
+	}
+	dots, err := plotter.NewScatter(points)
+	if err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	line := plotter.NewFunction(func(x float64) float64 { return fi.Base + fi.Slope*x })
+	pl.Add(dots, line, plotter.NewGrid())
+	pl.Y.Min = 0
+	if err := os.MkdirAll(folder, 0o755); err != nil { //nolint:gosec // a folder to be read by all
+		return errors.Wrap(err, "plot")
+	}
+	return errors.Wrap(pl.Save(plotWidth, plotHeight, filepath.Join(folder, fi.ID+".svg")), "plot")
+}
+
+// heapOf is the heap that a value takes, in bytes.
+func heapOf(build func() any) float64 {
+	before := heap()
+	value := build()
+	after := heap()
+	runtime.KeepAlive(value)
+	return float64(after) - float64(before)
+}
+
+func heap() uint64 {
+	var ms runtime.MemStats
+	for range 2 {
+		runtime.GC()
+	}
+	runtime.ReadMemStats(&ms)
+	return ms.HeapAlloc + ms.StackInuse
+}
+
+// cpu is the processor time of this process.
+func cpu() time.Duration {
+	var ru syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &ru)
+	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
+}
+
+// timed is the processor time of a call in microseconds, over enough calls to
+// be read.
+func timed(call func() error) (float64, error) {
+	const least = 300 * time.Millisecond
+	began, count := cpu(), 0
+	for cpu()-began < least {
+		if err := call(); err != nil {
+			return 0, err
+		}
+		count++
+	}
+	return float64((cpu() - began).Microseconds()) / float64(count), nil
+}
--- a/boot/boot.go
+++ b/boot/boot.go
@@ -34,11 +34,12 @@
 
 // Entry builds an entry. The first server is the one for callers.
 func Entry(se setup.Entry, lg log.Logger) (Daemon, error) {
+	me := &meter.Set{}
 	outer := &server.Server{
-		MaxHeader: int(se.Limits.MaxHeader), MaxConnections: se.Limits.MaxConnections,
+		Traffic: me.Traffic("callers"), MaxHeader: int(se.Limits.MaxHeader), MaxConnections: se.Limits.MaxConnections,
 		HeaderTimeout: se.Timing.ReadTimeout.Std(),
 	}
-	inner := &server.Server{Plain2: true}
+	inner := &server.Server{Traffic: me.Traffic("inner"), Plain2: true}
 	if err := outer.Listen(se.Listen); err != nil {
 		return Daemon{}, err
 	}
@@ -47,7 +48,7 @@
 	}
 	se.InnerListen = inner.Addr() // what the entry tells its peers
 	tables, objects, list := platform(se.Platform)
-	en := entry.New(se, core.SystemClock{}, lg, &meter.Set{}, entry.Platform{Tables: tables, Objects: objects, List: list})
+	en := entry.New(se, core.SystemClock{}, lg, me, entry.Platform{Tables: tables, Objects: objects, List: list})
 	outer.Handler, inner.Handler = en.Handler(), en.InnerHandler()
 	return Daemon{Part: en, Servers: []*server.Server{outer, inner}}, nil
 }
@@ -57,7 +58,7 @@
 	tables, objects, _ := platform(se.Platform)
 	me := &meter.Set{}
 	gu := guard.New(se, core.SystemClock{}, lg, me, tables, objects)
-	inner := &server.Server{Handler: guardHandler(gu, se, me), Plain2: true}
+	inner := &server.Server{Traffic: me.Traffic("inner"), Handler: guardHandler(gu, se, me), Plain2: true}
 	if err := inner.Listen(se.Listen); err != nil {
 		return Daemon{}, err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -120,7 +121,7 @@
 		settings: se, clock: cl, meters: me, list: pl.List,
 		logger:   log.With(lg, "entry", se.Name),
 		acceptor: &sheet.Acceptor{Table: pl.Tables, Objects: pl.Objects, Clock: cl, Tries: acceptTries, Pause: acceptPause},
-		inner:    innerClient(),
+		inner:    innerClient(me.Traffic("inner")),
 		loop:     core.NewLoop(),
 		stop:     make(chan struct{}),
 		done:     make(chan struct{}),
@@ -153,10 +154,16 @@
 // innerClient speaks to guards and other entries: HTTP/1.1 with kept
 // connections, on which an answer passes through fewer goroutines than on a
 // shared HTTP/2 connection.
-func innerClient() *http.Client {
+func innerClient(tr meter.Traffic) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DisableCompression: true, IdleConnTimeout: time.Minute, MaxIdleConnsPerHost: idlePerHost,
-		DialContext: dialer.DialContext,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return tr.Conn(conn), nil
+		},
 	}}
 }
 
@@ -220,10 +227,9 @@
 	now := en.clock.Now()
 	vi := &view{book: en.book, remotes: make(map[string]*contact, len(en.remotes)), poison: map[uint64]poison.Report{}, addrs: en.peers}
 	for na, re := range en.remotes {
-		co := re.contact(now)
-		vi.remotes[na] = co
+		vi.remotes[na] = re.seen
 		if re.chosen {
-			vi.route.Targets = append(vi.route.Targets, co.Target)
+			vi.route.Targets = append(vi.route.Targets, re.seen.Target)
 		}
 	}
 	for _, re := range en.poison.Reports(now, mostPoison) {
@@ -233,6 +239,16 @@
 	en.view.Store(vi)
 }
 
+// refreshAll makes all contacts anew, since the health of a target changes
+// with time. It runs on the loop.
+func (en *Entry) refreshAll() {
+	now := en.clock.Now()
+	for _, re := range en.remotes {
+		re.refresh(now)
+	}
+	en.publish()
+}
+
 // gate is the admission to one service, with those who wait for it.
 type gate struct {
 	limit.Gate
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -35,11 +35,16 @@
 	// chosen says that the target is in this entry's subset.
 	chosen bool
 	kick   chan struct{}
+	ctx    context.Context
 	cancel context.CancelFunc
 	// lost ends when the guard or its target stops answering.
 	lost     context.Context
 	loseNow  context.CancelFunc
 	released []string
+	// seen is the contact of the last refresh.
+	seen *contact
+	// used is when a request last went to a target outside of the subset.
+	used time.Time
 }
 
 // contact is a guard as traffic sees it. It is never changed in place.
@@ -55,6 +60,9 @@
 	silent bool
 }
 
+// refresh makes the contact that traffic sees from the next publication on.
+func (re *remote) refresh(now time.Time) { re.seen = re.contact(now) }
+
 func (re *remote) contact(now time.Time) *contact {
 	co := &contact{client: re.client, lost: re.lost, heard: re.heard}
 	co.Target = route.Target{
@@ -94,8 +102,8 @@
 	// mostMisses is how many hellos in a row may fail before a target counts
 	// as down.
 	mostMisses = 3
-	// missedHurry is how much sooner a hello follows one that was missed.
-	missedHurry = 4
+	// missedPause is the time until a hello follows one that was missed.
+	missedPause = 250 * time.Millisecond
 	// helloTimeout bounds one hello.
 	helloTimeout = 500 * time.Millisecond
 )
@@ -156,22 +164,30 @@
 		if in, found := listed[na]; found {
 			re.inst.State = in.State
 		}
-		if !chosen[na] && (listed[na].Name == "" && re.misses < mostMisses) {
-			continue // off the list, still answering
-		}
-		if !chosen[na] {
+		switch {
+		case chosen[na]:
+		case re.chosen && listed[na].Name == "" && re.misses < mostMisses: // off the list, still answering
+		case !re.chosen && en.clock.Now().Sub(re.used) < passiveHold: // a home of keys
+		default:
 			en.part(na)
 		}
 	}
 }
 
+// passiveHold is how long a target outside of the subset is remembered after
+// its last request. It is not greeted at a pace, only when it is needed.
+const passiveHold = time.Minute
+
 // meet starts the hellos to a target, anew if it has moved. It runs on the
 // loop.
 func (en *Entry) meet(ctx context.Context, in store.Instance, chosen bool) *remote {
 	re := en.remotes[in.Name]
 	if re != nil && re.inst.Addr == in.Addr {
-		re.inst = in
-		re.chosen = re.chosen || chosen
+		re.inst, re.used = in, en.clock.Now()
+		if chosen && !re.chosen {
+			re.chosen = true
+			go en.helloLoop(re.ctx, re)
+		}
 		return re
 	}
 	if re != nil {
@@ -179,13 +195,16 @@
 	}
 	hctx, cancel := context.WithCancel(ctx)
 	re = &remote{
-		inst: in, chosen: chosen, mine: &atomic.Int64{}, cancel: cancel,
+		inst: in, chosen: chosen, mine: &atomic.Int64{}, ctx: hctx, cancel: cancel, used: en.clock.Now(),
 		kick:   make(chan struct{}, 1),
 		client: wireconnect.NewGuardServiceClient(en.inner, "http://"+in.Addr, en.clientOptions()...),
 	}
 	re.lost, re.loseNow = context.WithCancel(context.Background())
 	en.remotes[in.Name] = re
-	go en.helloLoop(hctx, re)
+	re.refresh(en.clock.Now())
+	if chosen {
+		go en.helloLoop(hctx, re)
+	}
 	return re
 }
 
@@ -216,7 +235,7 @@
 	pause := en.settings.Timing.HelloEvery.Std()
 	en.loop.Do(func() {
 		if re.misses > 0 && re.misses < mostMisses {
-			pause /= missedHurry
+			pause = min(pause, missedPause)
 		}
 	})
 	return pause
@@ -265,6 +284,7 @@
 		if re.misses >= mostMisses {
 			re.lose()
 		}
+		re.refresh(now)
 		en.publish()
 		return
 	}
@@ -279,6 +299,7 @@
 	if behind {
 		re.hurry()
 	}
+	re.refresh(now)
 	en.publish()
 }
 
@@ -316,24 +337,28 @@
 	level.Warn(en.logger).Log("event", "target-death", "in-flight", len(de.Digests), "alone", de.Alone)
 }
 
-// reach finds a contact that has been heard from, meeting its guard first if
-// it is not in this entry's subset.
+// reach finds a contact that was heard from lately, greeting its guard first
+// if it is not in this entry's subset.
 func (en *Entry) reach(ctx context.Context, target string) (*contact, bool) {
-	if co := en.view.Load().remotes[target]; co != nil && co.Incarnation != 0 {
-		return co, true
-	}
-	var re *remote
+	var (
+		re    *remote
+		known bool
+	)
 	en.loop.Do(func() {
-		for _, in := range en.instances {
-			if in.Name == target && in.Role == store.RoleGuard {
-				re = en.meet(en.ctx, in, false)
-			}
+		if re = en.remotes[target]; re == nil {
+			re = en.meetListed(target)
+		}
+		if re != nil {
+			re.used = en.clock.Now()
+			known = re.hello != nil && (re.chosen || re.used.Sub(re.heard) < passiveFresh)
 		}
 	})
 	if re == nil {
 		return nil, false
 	}
-	en.hello(ctx, re)
+	if !known {
+		en.hello(ctx, re)
+	}
 	co := en.view.Load().remotes[target]
 	return co, co != nil && co.Incarnation != 0
 }
@@ -347,6 +372,21 @@
 	}
 }
 
+// passiveFresh is how old the last hello of a target outside of the subset may
+// be before it is greeted again.
+const passiveFresh = 2 * time.Second
+
+// meetListed meets a target that is on the list, without greeting it at a
+// pace. It runs on the loop.
+func (en *Entry) meetListed(target string) *remote {
+	for _, in := range en.instances {
+		if in.Name == target && in.Role == store.RoleGuard {
+			return en.meet(en.ctx, in, false)
+		}
+	}
+	return nil
+}
+
 // bearer adds the nodes' token to every call.
 func bearer(key string) connect.Interceptor {
 	return &bearerInterceptor{key: "Bearer " + key}
--- a/entry/spread.go
+++ b/entry/spread.go
@@ -75,7 +75,7 @@
 	if poll {
 		en.pollHead(ctx)
 	}
-	en.loop.Do(en.publish)
+	en.loop.Do(en.refreshAll)
 }
 
 // pollHead reads the head row and takes a newer book from the object store.
--- a/fake/platform.go
+++ b/fake/platform.go
@@ -1,15 +1,19 @@
 package fake
 
 import (
+	"compress/gzip"
 	"encoding/json"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 
 	"bilberryshelf/core"
@@ -239,7 +243,21 @@
 			"failure-domain": in.Domain, "state": string(in.State),
 		}})
 	}
-	_ = json.NewEncoder(out).Encode(groups)
+	raw, _ := json.Marshal(groups)
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(raw), 36))
+	out.Header().Set("ETag", tag)
+	if req.Header.Get("If-None-Match") == tag {
+		out.WriteHeader(http.StatusNotModified)
+		return
+	}
+	if !strings.Contains(req.Header.Get("Accept-Encoding"), "gzip") {
+		_, _ = out.Write(raw)
+		return
+	}
+	out.Header().Set("Content-Encoding", "gzip")
+	zw := gzip.NewWriter(out)
+	_, _ = zw.Write(raw)
+	_ = zw.Close()
 }
 
 // setList adds or changes instances, in the format of the list.
--- /dev/null
+++ b/meter/conn.go
@@ -0,0 +1,67 @@
+package meter
+
+import (
+	"net"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Traffic counts the bytes of connections under one label. The zero value
+// counts nothing; make it with Set.Traffic.
+type Traffic struct {
+	in, out metrics.Counter
+}
+
+// Traffic returns the counters of bytes-in and bytes-out under a label.
+func (se *Set) Traffic(label string) Traffic {
+	return Traffic{
+		in:  metrics.GetOrRegisterCounter(se.full("bytes-in", label), se.registryOf()),
+		out: metrics.GetOrRegisterCounter(se.full("bytes-out", label), se.registryOf()),
+	}
+}
+
+// Conn counts what passes through a connection.
+func (tr Traffic) Conn(conn net.Conn) net.Conn {
+	if tr.in == nil {
+		return conn
+	}
+	return &countedConn{Conn: conn, traffic: tr}
+}
+
+// Listener counts what passes through the connections that it accepts.
+func (tr Traffic) Listener(li net.Listener) net.Listener {
+	return &countedListener{Listener: li, traffic: tr}
+}
+
+type countedListener struct {
+	net.Listener
+	traffic Traffic
+}
+
+// Accept waits for the next connection.
+func (li *countedListener) Accept() (net.Conn, error) {
+	conn, err := li.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return li.traffic.Conn(conn), nil
+}
+
+type countedConn struct {
+	net.Conn
+	traffic Traffic
+}
+
+// Read reads and counts.
+func (co *countedConn) Read(buf []byte) (int, error) {
+	count, err := co.Conn.Read(buf)
+	co.traffic.in.Inc(int64(count))
+	return count, err
+}
+
+// Write writes and counts.
+func (co *countedConn) Write(buf []byte) (int, error) {
+	count, err := co.Conn.Write(buf)
+	co.traffic.out.Inc(int64(count))
+	return count, err
+}
--- a/server/server.go
+++ b/server/server.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/netutil"
+
+	"bilberryshelf/meter"
 )
 
 // Server is an HTTP server on a listener of its own. The zero values of the
@@ -20,7 +22,9 @@
 	MaxHeader      int
 	MaxConnections int
 	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	// Traffic counts the bytes of all connections.
+	Traffic     meter.Traffic
+	IdleTimeout time.Duration
 
 	http     *http.Server
 	listener net.Listener
@@ -44,6 +48,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", addr)
 	}
+	li = se.Traffic.Listener(li)
 	if se.MaxConnections > 0 {
 		li = netutil.LimitListener(li, se.MaxConnections)
 	}
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -169,10 +169,10 @@
 		Platform: defaultPlatform(),
 		Limits: EntryLimits{
 			MaxBody: 8 << 20, MaxHeader: 64 << 10, MaxConnections: 10000, QueueDepth: 1024,
-			MostInFlight: 2048, SubsetSize: 64, RetryShare: 0.1, Attempts: 3,
+			MostInFlight: 2048, SubsetSize: 32, RetryShare: 0.1, Attempts: 3,
 		},
 		Timing: EntryTiming{
-			HelloEvery: span(time.Second), SpreadEvery: span(time.Second), PollEvery: span(5 * time.Second),
+			HelloEvery: span(2 * time.Second), SpreadEvery: span(time.Second), PollEvery: span(5 * time.Second),
 			ListEvery: span(5 * time.Second), StartWithin: span(5 * time.Second), SettleTimeout: span(time.Second),
 			DefaultTimeout: span(2 * time.Minute), KeyHold: span(10 * time.Minute), ReadTimeout: span(30 * time.Second),
 			PoisonLapse: span(10 * time.Minute), DrainDelay: span(2 * time.Second),
--- a/store/list.go
+++ b/store/list.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -37,22 +38,35 @@
 type List struct {
 	access Access
 	client *http.Client
+
+	mutex sync.Mutex
+	tag   string
+	last  []Instance
 }
 
 // NewList points at a list.
 func NewList(ac Access) *List { return &List{access: ac, client: ac.client()} }
 
-// Fetch reads the list whole.
+// Fetch reads the list whole. A list that has not changed since the last read,
+// by its entity tag, is not sent again.
 func (li *List) Fetch(ctx context.Context) ([]Instance, error) {
+	li.mutex.Lock()
+	defer li.mutex.Unlock()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, li.access.URL, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "list of instances")
 	}
+	if li.tag != "" {
+		req.Header.Set("If-None-Match", li.tag)
+	}
 	res, err := li.client.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "list of instances")
 	}
 	defer res.Body.Close() //nolint:errcheck // a failed close of a read body loses nothing
+	if res.StatusCode == http.StatusNotModified {
+		return li.last, nil
+	}
 	if res.StatusCode != http.StatusOK {
 		return nil, errors.Newf("list of instances: status %d", res.StatusCode)
 	}
@@ -60,7 +74,8 @@
 	if err := json.NewDecoder(res.Body).Decode(&groups); err != nil {
 		return nil, errors.Wrap(err, "list of instances")
 	}
-	return instances(groups), nil
+	li.tag, li.last = res.Header.Get("ETag"), instances(groups)
+	return li.last, nil
 }
 
 func instances(groups []group) []Instance {
