--- a/bench/bench.go
+++ b/bench/bench.go
@@ -62,6 +62,10 @@
 		"slopes", "measure what each part of the state and work costs", "Measures over several sizes, fits lines, and writes slopes.json and the plots of docs/CAPACITY.md.",
 		func(out io.Writer) any { return &slopesCommand{out: out} },
 	},
+	{
+		"page", "write the tables of docs/CAPACITY.md", "Works out the tables from slopes.json and many.json.",
+		func(out io.Writer) any { return &pageCommand{out: out} },
+	},
 	{
 		"checks", "send non-idempotent checks while things fail", "Sends keyed and unkeyed checks through several entries and compares every verdict with what the services ran.",
 		func(out io.Writer) any { return &checksCommand{out: out} },
--- /dev/null
+++ b/bench/page_test.go
@@ -0,0 +1,49 @@
+package bench
+
+import (
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/core"
+)
+
+// The tables of the page are those that the measured slopes give.
+func TestPageAgreesWithSlopes(t *testing.T) {
+	text, err := os.ReadFile("../docs/CAPACITY.md")
+	require.NoError(t, err)
+	want, err := render(string(text), "../docs/capacity")
+	require.NoError(t, err)
+	require.Equal(t, want, string(text), "run: go run ./cmd/bilberrylab page")
+}
+
+// The lines in the file are those of its points, and every slope of the table
+// is there with four sizes or more.
+func TestSlopesFollowFromPoints(t *testing.T) {
+	fits, err := ReadSlopes("../docs/capacity/slopes.json")
+	require.NoError(t, err)
+	require.Len(t, fits, len(slopes))
+	for at, fi := range fits {
+		require.Equal(t, slopes[at].id, fi.ID)
+		again := fit(slopes[at], fi.Points)
+		require.InDelta(t, fi.Slope, again.Slope, 1e-9)
+		sizes := map[float64]bool{}
+		for _, po := range fi.Points {
+			sizes[po.X] = true
+		}
+		require.GreaterOrEqual(t, len(sizes), 4, fi.ID)
+	}
+}
+
+func TestJudgeCountsBrokenPromises(t *testing.T) {
+	re := judge([]check{
+		{body: "once", verdicts: []core.Verdict{core.MayHaveRun, core.Ran}},
+		{body: "twice", verdicts: []core.Verdict{core.Ran}},
+		{body: "denied", verdicts: []core.Verdict{core.NotRun}},
+		{body: "claimed", verdicts: []core.Verdict{core.Ran}},
+		{body: "in doubt", verdicts: []core.Verdict{noAnswer}},
+		{body: "not run", verdicts: []core.Verdict{core.NotRun}},
+	}, map[string]int{"once": 1, "twice": 2, "denied": 1, "in doubt": 1})
+	require.Equal(t, []int{1, 1, 1, 1, 1}, []int{re.Doubled, re.FalseNot, re.FalseRan, re.RanInDoubt, re.Resent})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -242,9 +242,8 @@
 // refreshAll makes all contacts anew, since the health of a target changes
 // with time. It runs on the loop.
 func (en *Entry) refreshAll() {
-	now := en.clock.Now()
 	for _, re := range en.remotes {
-		re.refresh(now)
+		en.refresh(re)
 	}
 	en.publish()
 }
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -61,14 +61,17 @@
 }
 
 // refresh makes the contact that traffic sees from the next publication on.
-func (re *remote) refresh(now time.Time) { re.seen = re.contact(now) }
+func (re *remote) refresh(now time.Time, speed float64) { re.seen = re.contact(now, speed) }
 
-func (re *remote) contact(now time.Time) *contact {
+// refresh makes the contact of one remote anew. It runs on the loop.
+func (en *Entry) refresh(re *remote) { re.refresh(en.clock.Now(), en.typicalSpeed(re)) }
+
+func (re *remote) contact(now time.Time, speed float64) *contact {
 	co := &contact{client: re.client, lost: re.lost, heard: re.heard}
 	co.Target = route.Target{
 		Name: re.inst.Name, Service: re.inst.Service, Region: re.inst.Region, Domain: re.inst.Domain,
 		Addr: re.inst.Addr, State: core.Starting, Mine: re.mine, MineThen: re.mineThen,
-		Return: re.health.Share(now),
+		Return: re.health.Share(now, speed),
 	}
 	if re.hello == nil {
 		return co
@@ -140,40 +143,53 @@
 
 // meetTargets deals out the targets and starts or stops the hellos.
 func (en *Entry) meetTargets(ctx context.Context) {
-	byService := map[string][]string{}
 	listed := map[string]store.Instance{}
 	for _, in := range en.instances {
-		if in.Role != store.RoleGuard {
-			continue
-		}
-		listed[in.Name] = in
-		byService[in.Service] = append(byService[in.Service], in.Name)
-	}
-	entries := en.liveEntries()
-	chosen := map[string]bool{}
-	for _, names := range byService {
-		slices.Sort(names)
-		for _, na := range route.Subset(names, entries, en.settings.Name, en.settings.Limits.SubsetSize) {
-			chosen[na] = true
+		if in.Role == store.RoleGuard {
+			listed[in.Name] = in
 		}
 	}
+	chosen := en.subset(listed)
 	for na := range chosen {
 		en.meet(ctx, listed[na], true)
 	}
 	for na, re := range en.remotes {
-		if in, found := listed[na]; found {
+		in, found := listed[na]
+		if found {
 			re.inst.State = in.State
 		}
-		switch {
-		case chosen[na]:
-		case re.chosen && listed[na].Name == "" && re.misses < mostMisses: // off the list, still answering
-		case !re.chosen && en.clock.Now().Sub(re.used) < passiveHold: // a home of keys
-		default:
+		if !chosen[na] && !en.keeps(re, found) {
 			en.part(na)
 		}
 	}
 }
 
+// subset is this entry's share of the listed targets, of each service.
+func (en *Entry) subset(listed map[string]store.Instance) map[string]bool {
+	byService := map[string][]string{}
+	for na, in := range listed {
+		byService[in.Service] = append(byService[in.Service], na)
+	}
+	entries := en.liveEntries()
+	chosen := map[string]bool{}
+	for _, names := range byService {
+		slices.Sort(names)
+		for _, na := range route.Subset(names, entries, en.settings.Name, en.settings.Limits.SubsetSize) {
+			chosen[na] = true
+		}
+	}
+	return chosen
+}
+
+// keeps reports whether a target outside of the subset is kept: one that left
+// the list and still answers, or one that was the home of a key lately.
+func (en *Entry) keeps(re *remote, listed bool) bool {
+	if re.chosen {
+		return !listed && re.misses < mostMisses
+	}
+	return en.clock.Now().Sub(re.used) < passiveHold
+}
+
 // passiveHold is how long a target outside of the subset is remembered after
 // its last request. It is not greeted at a pace, only when it is needed.
 const passiveHold = time.Minute
@@ -201,7 +217,7 @@
 	}
 	re.lost, re.loseNow = context.WithCancel(context.Background())
 	en.remotes[in.Name] = re
-	re.refresh(en.clock.Now())
+	en.refresh(re)
 	if chosen {
 		go en.helloLoop(hctx, re)
 	}
@@ -284,7 +300,7 @@
 		if re.misses >= mostMisses {
 			re.lose()
 		}
-		re.refresh(now)
+		en.refresh(re)
 		en.publish()
 		return
 	}
@@ -299,7 +315,7 @@
 	if behind {
 		re.hurry()
 	}
-	re.refresh(now)
+	en.refresh(re)
 	en.publish()
 }
 
@@ -333,6 +349,7 @@
 		}
 	}
 	en.poison.Death(now, de.Digests, de.Alone)
+	go en.tellPeers() // before the request is sent again elsewhere
 	en.meters.Count("target-deaths", "", 1)
 	level.Warn(en.logger).Log("event", "target-death", "in-flight", len(de.Digests), "alone", de.Alone)
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -268,6 +268,22 @@
 	})
 }
 
+// typicalSpeed is the median speed of generations at the other targets of the
+// service; zero if fewer than two are known.
+func (en *Entry) typicalSpeed(than *remote) float64 {
+	var others []float64
+	for _, re := range en.remotes {
+		if re != than && re.inst.Service == than.inst.Service && re.health.Speed() > 0 {
+			others = append(others, re.health.Speed())
+		}
+	}
+	if len(others) < leastPeers {
+		return 0
+	}
+	slices.Sort(others)
+	return others[len(others)/2]
+}
+
 // typicalFirst is the median time to the head at the other targets of the
 // service; zero if fewer than two are known.
 func (en *Entry) typicalFirst(than *remote) time.Duration {
@@ -335,7 +351,7 @@
 
 func (en *Entry) placeAny(vi *view, rq *request, tried []string) (place, *core.Error) {
 	ta, er := route.Choose(vi.route, route.Ask{
-		Service: rq.service, Region: en.settings.Place.Region, Tried: tried, Prefix: rq.prefix, LeastVersion: rq.least,
+		Service: rq.service, Region: en.settings.Place.Region, Tried: tried, Prefix: rq.prefix, LeastVersion: rq.least, Healthy: rq.sample,
 		Allowed: func(name string) bool { return slices.Contains(rq.loan.Targets, name) },
 		Draw:    rand.IntN,
 		Link:    func() bool { return en.link == nil || en.link.AllowN(en.clock.Now(), linkCost(rq)) },
--- a/entry/trainer.go
+++ b/entry/trainer.go
@@ -271,7 +271,7 @@
 
 // generate runs one slot and reports to its step.
 func (en *Entry) generate(ctx context.Context, name string, st *step, jo sample.Job) {
-	sa, certain, er := en.runSample(ctx, st.Spec, jo)
+	sa, certain, er := en.runSample(ctx, st, jo)
 	en.loop.Do(func() {
 		if er != nil {
 			st.Failed(en.clock.Now(), jo, max(er.RetryAfter, failedPause))
@@ -300,8 +300,9 @@
 
 const sampleTimeout = 16 * time.Minute
 
-func (en *Entry) runSample(ctx context.Context, sp sample.Spec, jo sample.Job) (sample.Sample, bool, *core.Error) {
+func (en *Entry) runSample(ctx context.Context, st *step, jo sample.Job) (sample.Sample, bool, *core.Error) {
 	var sa sample.Sample
+	sp := st.Spec
 	lo, er := en.find(sp.Trainer, sp.Service)
 	if er != nil {
 		return sa, false, er
@@ -315,6 +316,18 @@
 	}
 	rq := en.sampleRequest(sp, jo, lo, body)
 	tr := &transcript{}
+	var began time.Time
+	tr.started = func() { began = en.clock.Now() }
+	tr.progress = func(tokens int) {
+		took := en.clock.Now().Sub(began).Seconds()
+		target := tr.target
+		en.loop.Post(func() {
+			st.Progress(jo, tokens)
+			if re := en.remotes[target]; re != nil && took > 0 {
+				re.health.Paced(float64(tokens) / took)
+			}
+		})
+	}
 	if er := en.perform(ctx, rq, tr); er != nil {
 		return sa, false, er
 	}
@@ -348,10 +361,20 @@
 	text     strings.Builder
 	closed   bool
 	segments []*wire.Segment
+	tokens   int
+	target   string
+	// started is told of a new answer, progress of the tokens so far, now and
+	// then.
+	started  func()
+	progress func(tokens int)
 }
 
-func (tr *transcript) begin(head *wire.Head, _ string) *core.Error {
-	*tr = transcript{}
+// progressEvery is the number of tokens between two reports of progress.
+const progressEvery = 64
+
+func (tr *transcript) begin(head *wire.Head, target string) *core.Error {
+	*tr = transcript{started: tr.started, progress: tr.progress, target: target}
+	tr.started()
 	if head.Status != http.StatusOK {
 		return core.Doubt(core.CodeAnswerCut, "the engine answered with status %d", head.Status)
 	}
@@ -364,6 +387,9 @@
 			return core.Doubt(core.CodeAnswerCut, "the engine ended its stream with an error")
 		}
 		tr.text.WriteString(ev.Text)
+		if tr.tokens += ev.Tokens; ev.Tokens > 0 && tr.tokens%progressEvery == 0 {
+			tr.progress(tr.tokens)
+		}
 		tr.closed = tr.closed || ev.Last
 	}
 	return nil
--- a/gossip/spread_test.go
+++ b/gossip/spread_test.go
@@ -225,6 +225,9 @@
 				tc.co.seed = seed
 				sp := run(tc.co)
 				require.True(t, sp.complete(), "seed %d", seed)
+				if *report {
+					t.Logf("%-26s seed %d: last %v", tc.name, seed, sp.last().Round(time.Millisecond))
+				}
 				require.LessOrEqual(t, sp.last(), tc.within, "seed %d", seed)
 				for at, when := range sp.reached {
 					if tc.co.cut > 0 && sp.region(at) != 3 {
--- a/route/choose.go
+++ b/route/choose.go
@@ -5,7 +5,8 @@
 //
 //  1. Only serving targets of the service that were not tried yet count, that
 //     have weights no older than asked for and, outside of their full health,
-//     only in the share that their return allows.
+//     only in the share that their return allows: of the draws, and of the
+//     requests that they take at once.
 //  2. Targets of the entry's own region go first. Another region is used only
 //     when no target here has room and the link has budget for the request.
 //  3. A request with a prefix goes to the first target, in rendezvous order of
@@ -63,6 +64,14 @@
 	return max(ta.Reported-ta.MineThen+mine, mine, 0)
 }
 
+// room is the number of requests that the target may have at once.
+func (ta Target) room() int {
+	if ta.Return >= 1 {
+		return ta.Capacity
+	}
+	return max(int(ta.Return*float64(ta.Capacity)), 1)
+}
+
 // relative is the load as a share of the capacity.
 func (ta Target) relative() float64 { return float64(ta.Load()) / float64(max(ta.Capacity, 1)) }
 
@@ -93,6 +102,10 @@
 	Prefix uint64
 	// LeastVersion is the oldest version of weights that will do.
 	LeastVersion uint64
+	// Healthy asks for a target in full health as long as one is known to serve,
+	// also if it has no room at present: for long work that a slow target would
+	// hold up.
+	Healthy bool
 	// Link grants bytes on the link to other regions; nil grants all.
 	Link func() bool
 	// Draw returns a number below its argument.
@@ -119,12 +132,13 @@
 
 // candidates lists the targets with room in this region and in others (rule 1).
 func candidates(vi View, as Ask) (near, far []Target, known bool) {
+	well := as.Healthy && anyWell(vi, as)
 	for _, ta := range vi.Targets {
-		if !eligible(ta, as) {
+		if !eligible(ta, as) || (well && ta.Return < SlowSpeed) {
 			continue
 		}
 		known = true
-		if ta.Load() >= ta.Capacity {
+		if ta.Load() >= ta.room() {
 			continue
 		}
 		if ta.Return < 1 && float64(as.Draw(drawScale)) >= ta.Return*drawScale {
@@ -139,6 +153,16 @@
 	return near, far, known
 }
 
+// anyWell reports whether a target in full health serves.
+func anyWell(vi View, as Ask) bool {
+	for _, ta := range vi.Targets {
+		if eligible(ta, as) && ta.Return >= SlowSpeed {
+			return true
+		}
+	}
+	return false
+}
+
 func eligible(ta Target, as Ask) bool {
 	if ta.Service != as.Service || ta.State != core.Serving || ta.Version < as.LeastVersion {
 		return false
--- a/route/health.go
+++ b/route/health.go
@@ -12,6 +12,8 @@
 //  3. Then it returns gradually over Ramp. A failure in that time takes it out
 //     again at once.
 //  4. A span of full health as long as the last rest forgets the doubling.
+//  5. A target whose generations come at less than SlowSpeed of the speed of
+//     its peers gets the share that its speed is of theirs.
 //
 // The zero value is a healthy target.
 type Health struct {
@@ -19,6 +21,7 @@
 	rests   int
 	until   time.Time
 	latency time.Duration
+	speed   float64
 }
 
 // The constants of Health.
@@ -28,11 +31,14 @@
 	FirstRest  = 2 * time.Second
 	LastRest   = 2 * time.Minute
 	Ramp       = 10 * time.Second
+	SlowSpeed  = 0.6
 
 	// latencyShare is the weight of a new answer time in the mean.
 	latencyShare = 0.1
 	// slowFloor is the mean answer time below which no target counts as slow.
 	slowFloor = 50 * time.Millisecond
+	// speedShare is the weight of a new speed in the mean.
+	speedShare = 0.05
 )
 
 // Answered counts an answer and its time to the first byte. Peers is the
@@ -85,8 +91,29 @@
 // Latency is the mean time to the first byte, zero if not known.
 func (he *Health) Latency() time.Duration { return he.latency }
 
-// Share is the part of its traffic that the target gets at present.
-func (he *Health) Share(now time.Time) float64 {
+// Paced counts the speed of a generation in tokens a second.
+func (he *Health) Paced(speed float64) {
+	if he.speed == 0 {
+		he.speed = speed
+	}
+	he.speed += speedShare * (speed - he.speed)
+}
+
+// Speed is the mean speed of generations in tokens a second, zero if not
+// known.
+func (he *Health) Speed() float64 { return he.speed }
+
+// Share is the part of its traffic that the target gets at present. Peers is
+// the typical speed of the other targets, zero if not known.
+func (he *Health) Share(now time.Time, peers float64) float64 {
+	if he.speed > 0 && peers > 0 && he.speed < SlowSpeed*peers { // rule 5
+		return he.returned(now) * he.speed / peers
+	}
+	return he.returned(now)
+}
+
+// returned is the share that failures leave.
+func (he *Health) returned(now time.Time) float64 {
 	if he.rests == 0 {
 		return 1
 	}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -156,19 +156,19 @@
 	var he route.Health
 	he.Failed(now)
 	he.Failed(now)
-	require.Equal(t, 1.0, he.Share(now))
+	require.Equal(t, 1.0, he.Share(now, 0))
 	he.Answered(now, time.Millisecond, 0)
 	for range route.Strikes {
 		he.Failed(now)
 	}
-	require.Equal(t, 0.0, he.Share(now))
+	require.Equal(t, 0.0, he.Share(now, 0))
 	back := now.Add(route.FirstRest)
-	require.InDelta(t, 0.05, he.Share(back), 0.01, "a little, to show that it is well")
-	require.InDelta(t, 0.5, he.Share(back.Add(route.Ramp/2)), 0.01)
+	require.InDelta(t, 0.05, he.Share(back, 0), 0.01, "a little, to show that it is well")
+	require.InDelta(t, 0.5, he.Share(back.Add(route.Ramp/2), 0), 0.01)
 	he.Failed(back.Add(time.Second))
-	require.Equal(t, 0.0, he.Share(back.Add(time.Second)), "a failure on its return takes it out at once")
-	require.Equal(t, 0.0, he.Share(back.Add(time.Second+route.FirstRest)), "and for longer")
-	require.Equal(t, 1.0, he.Share(back.Add(time.Hour)))
+	require.Equal(t, 0.0, he.Share(back.Add(time.Second), 0), "a failure on its return takes it out at once")
+	require.Equal(t, 0.0, he.Share(back.Add(time.Second+route.FirstRest), 0), "and for longer")
+	require.Equal(t, 1.0, he.Share(back.Add(time.Hour), 0))
 }
 
 func TestSlowTargetIsTakenOut(t *testing.T) {
@@ -177,7 +177,37 @@
 	for range 50 {
 		he.Answered(now, time.Second, 100*time.Millisecond)
 	}
-	require.Equal(t, 0.0, he.Share(now))
+	require.Equal(t, 0.0, he.Share(now, 0))
+}
+
+// A target that generates slowly gets the share of its speed, and samples only
+// when no target in full health is known.
+func TestSlowGenerations(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var he route.Health
+	for range 100 {
+		he.Paced(10)
+	}
+	require.InDelta(t, 0.25, he.Share(now, 40), 0.01)
+	require.Equal(t, 1.0, he.Share(now, 15))
+
+	random := rand.New(rand.NewPCG(1, 1))
+	vi, as := route.View{Targets: targets(2)}, ask(random)
+	as.Healthy = true
+	vi.Targets[0].Return = 0.25
+	for range 50 {
+		ta, er := route.Choose(vi, as)
+		require.Nil(t, er)
+		require.Equal(t, "t-01", ta.Name)
+	}
+	vi.Targets[1].Reported = 10
+	_, er := route.Choose(vi, as)
+	require.Equal(t, core.CodeFull, er.Code, "it waits for a place at a healthy one")
+	vi.Targets[1].State = core.Down
+	require.Eventually(t, func() bool {
+		ta, er := route.Choose(vi, as)
+		return er == nil && ta.Name == "t-00"
+	}, time.Minute, time.Microsecond)
 }
 
 func ExampleChoose() {
--- a/sample/step.go
+++ b/sample/step.go
@@ -18,8 +18,11 @@
 //     part of it. Otherwise it is dropped, counted, and its slot generated
 //     anew. This holds for an answer that is given again, too.
 //  5. A sample whose versions are in doubt is dropped the same way.
-//  6. A slot may run twice at once: when it runs much longer than others did
-//     and the budget of extra runs allows. The first sample counts.
+//  6. A slot may run twice at once: when it has run longer than others did, its
+//     tokens come much slower than theirs, and the budget of extra runs allows.
+//     A long answer at the ordinary speed would only be made twice. The first
+//     sample counts; both runs have the same seed, so that no answer is
+//     preferred for being short.
 //  7. Each run of a slot has its own number, which is part of its key, so a
 //     new owner finds the runs of the former one at the guards.
 package sample
@@ -169,6 +172,7 @@
 	running   int
 	runs      int
 	started   time.Time
+	tokens    int
 	sample    *Sample
 	confirmed bool
 	notBefore time.Time
@@ -193,6 +197,7 @@
 	next      int
 	confirmed int
 	durations []time.Duration
+	rates     []float64
 	token     string
 	former    string
 	pending   []int
@@ -256,7 +261,9 @@
 	jo := Job{Slot: st.slot(at), Run: ss.runs, Extra: extra, Least: st.least()}
 	ss.runs++
 	ss.running++
-	ss.started = now
+	if !extra {
+		ss.started, ss.tokens = now, 0
+	}
 	st.running++
 	return jo
 }
@@ -264,7 +271,7 @@
 // extras finds the stragglers (rule 6). Only a step whose slots have all been
 // started has places to spare for them.
 func (st *Step) extras(now time.Time) []Job {
-	typical := st.typical()
+	typical, rate := st.typical()
 	if typical == 0 || st.ExtraShare <= 0 {
 		return nil
 	}
@@ -273,8 +280,10 @@
 	var jobs []Job
 	for at := range st.slots {
 		ss := &st.slots[at]
-		late := ss.running == 1 && ss.sample == nil && !ss.confirmed && now.Sub(ss.started) > patience
-		if !late || len(jobs) >= budget {
+		took := now.Sub(ss.started)
+		late := ss.running == 1 && ss.sample == nil && !ss.confirmed && took > patience
+		slow := float64(ss.tokens) < slowShare*rate*took.Seconds()
+		if !late || !slow || len(jobs) >= budget {
 			continue
 		}
 		jobs = append(jobs, st.start(now, at, true))
@@ -287,14 +296,25 @@
 // duration is known.
 const leastDurations = 8
 
-// typical is the 90th percentile of the durations so far.
-func (st *Step) typical() time.Duration {
+// slowShare is the share of the typical speed below which a run is slow.
+const slowShare = 0.6
+
+// typical is the 90th percentile of the durations so far, and the median of
+// the speeds in tokens a second.
+func (st *Step) typical() (took time.Duration, rate float64) {
 	if len(st.durations) < leastDurations {
-		return 0
+		return 0, 0
 	}
-	sorted := slices.Clone(st.durations)
-	slices.Sort(sorted)
-	return sorted[len(sorted)*9/10]
+	durations, rates := slices.Clone(st.durations), slices.Clone(st.rates)
+	slices.Sort(durations)
+	slices.Sort(rates)
+	return durations[len(durations)*9/10], rates[len(rates)/2]
+}
+
+// Progress tells how many tokens a run has produced so far.
+func (st *Step) Progress(jo Job, tokens int) {
+	ss := &st.slots[st.at(jo.Slot)]
+	ss.tokens = max(ss.tokens, tokens)
 }
 
 // Finished takes in the sample of a run. Certain says that its versions are
@@ -304,8 +324,9 @@
 	ss := &st.slots[at]
 	st.ended(ss)
 	st.counts.CreatedTokens += sa.Tokens()
-	if len(st.durations) < len(st.slots) {
-		st.durations = append(st.durations, now.Sub(ss.started))
+	if took := now.Sub(ss.started); took > 0 && !jo.Extra {
+		st.durations = append(st.durations, took)
+		st.rates = append(st.rates, float64(sa.Tokens())/took.Seconds())
 	}
 	switch {
 	case !certain || sa.Oldest() == 0: // rule 5
@@ -325,6 +346,9 @@
 	ss := &st.slots[st.at(jo.Slot)]
 	st.ended(ss)
 	ss.notBefore = now.Add(wait)
+	if jo.Extra {
+		st.counts.Extra-- // it cost nothing that counts
+	}
 }
 
 func (st *Step) ended(ss *slotState) {
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -177,7 +177,7 @@
 			DefaultTimeout: span(2 * time.Minute), KeyHold: span(10 * time.Minute), ReadTimeout: span(30 * time.Second),
 			PoisonLapse: span(10 * time.Minute), DrainDelay: span(2 * time.Second),
 		},
-		Sample: SamplePlan{Window: 256, ExtraShare: 0.05, ExtraAfter: 1.5},
+		Sample: SamplePlan{Window: 256, ExtraShare: 0.05, ExtraAfter: 0.25},
 	}
 }
 
