limit, entry, retry: under twice the capacity, requests without room queue again; entry: owners that do not answer are shunned

Cause (docs/overload.sh, 1,280 calls a second on targets that take 640): a request that found no room looked for one again and again while it held its place, so the window never shrank, priorities did not count at the targets, and the queue took in what it could not serve in time. Now it gives its place back, the window shrinks, and it queues again before others of its class; the queue takes in what fits twice over, and drops at its turn what has become too late. Second cause: a dead entry that was still heard from took its steps back (TestStepSurvivesEntryAndEngine: unknown-step until the deadline). An entry that did not answer a relayed call now owns no steps for 10 s.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -85,7 +85,9 @@
 	budget    retry.Budget
 	steps     map[string]*step
 	lastGate  uint64
-	deaths    map[core.ID]time.Time
+	// shunned holds until when an entry owns no steps.
+	shunned map[string]time.Time
+	deaths  map[core.ID]time.Time
 }
 
 // view is what traffic sees. It is never changed in place.
@@ -140,6 +142,7 @@
 		gates:   map[string]*gate{},
 		steps:   map[string]*step{},
 		deaths:  map[core.ID]time.Time{},
+		shunned: map[string]time.Time{},
 		poison:  poison.List{Lapse: se.Timing.PoisonLapse.Std(), Most: mostPoison},
 		budget:  retry.Budget{Share: se.Limits.RetryShare, Most: mostRetries},
 		node: gossip.Node{
@@ -235,7 +238,7 @@
 	for _, re := range en.poison.Reports(now, mostPoison) {
 		vi.poison[re.Digest] = re
 	}
-	vi.entries = en.liveEntries()
+	vi.entries = en.owners()
 	en.view.Store(vi)
 }
 
@@ -262,12 +265,24 @@
 		ga.Least = leastWindow
 		ga.Depth = en.settings.Limits.QueueDepth
 		ga.Jitter = rand.Float64
+		ga.Margin = waitMargin
 		en.gates[service] = ga
 	}
 	ga.Most = float64(min(en.capacity(service), en.settings.Limits.MostInFlight))
 	return ga
 }
 
+// answer ends the wait of an item; a nil error lets it in.
+func (ga *gate) answer(id uint64, er *core.Error) {
+	if wait := ga.waiting[id]; wait != nil {
+		wait <- er
+		delete(ga.waiting, id)
+	}
+}
+
+// waitMargin is how many times the expected wait must fit before a deadline.
+const waitMargin = 2
+
 // capacity is what the targets of a service take at once, as far as they were
 // heard from. It runs on the loop.
 func (en *Entry) capacity(service string) int {
--- a/entry/trainer.go
+++ b/entry/trainer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -107,7 +108,7 @@
 	}
 	if err != nil {
 		en.meters.Count("peer-errors", "relay", 1)
-		en.loop.Do(func() { en.forgetPeer(owner) })
+		en.loop.Do(func() { en.shun(owner) })
 		return core.Refuse(core.CodeUnknownStep, "entry %s, which owned the step, does not answer; create the step again", owner).
 			WithRetryAfter(stepTick)
 	}
@@ -117,20 +118,23 @@
 	return nil
 }
 
-// forgetPeer takes a peer that does not answer out of the view, until the
-// list or the peer itself brings it back.
-func (en *Entry) forgetPeer(name string) {
-	next := map[string]string{}
-	for na, ad := range en.peers {
-		if na != name {
-			next[na] = ad
-		}
-	}
-	en.peers = next
-	en.setPeers()
+// shunHold is how long an entry that did not answer a relayed call owns no
+// steps here, even if it is heard from: it may send and not receive.
+const shunHold = 10 * time.Second
+
+// shun takes an entry that does not answer out of the owners for a while. It
+// runs on the loop.
+func (en *Entry) shun(name string) {
+	en.shunned[name] = en.clock.Now().Add(shunHold)
 	en.publish()
 }
 
+// owners lists the entries that may own steps. It runs on the loop.
+func (en *Entry) owners() []string {
+	now := en.clock.Now()
+	return slices.DeleteFunc(en.liveEntries(), func(na string) bool { return now.Before(en.shunned[na]) })
+}
+
 // Relay serves a trainer's call at the owner of the step.
 func (en *Entry) Relay(ctx context.Context, req *wire.RelayRequest) (*wire.RelayResponse, error) {
 	var (
--- a/limit/gate.go
+++ b/limit/gate.go
@@ -13,6 +13,9 @@
 	Tenant   string
 	Priority core.Priority
 	Deadline time.Time
+	// Again marks an item that had its turn and found no room. It waits again
+	// whatever the queue is like, since it was not refused when it came.
+	Again bool
 }
 
 // Answer says what happens to an offered item.
@@ -67,8 +70,11 @@
 //  2. Waiting items leave the queue by priority; inside a priority the tenant
 //     with the fewest items in flight goes first; inside a tenant the
 //     earliest deadline.
-//  3. An item whose wait, at the present drain rate, would outlast its
-//     deadline is refused at once.
+//  3. An item is refused at once if its deadline leaves less than Margin times
+//     the wait at the present drain rate, and the time of its service. The
+//     margin allows for items of higher priority that come after it. So what
+//     waits is served, as a rule, and what is refused is refused on arrival. An
+//     item whose turn comes too late for its service is refused then.
 //  4. A full queue refuses the newcomer, unless an item of lower priority
 //     waits, which is refused in its place.
 //  5. The time to come back is what the queue ahead takes at the drain rate,
@@ -81,6 +87,9 @@
 	Least, Most float64
 	// Depth bounds the queue.
 	Depth int
+	// Margin is how many times the expected wait must fit before a deadline;
+	// less than 1 counts as 1.
+	Margin float64
 	// Jitter draws from [0,1); nil means no jitter.
 	Jitter func() float64
 
@@ -91,8 +100,19 @@
 	queued  [priorities]int
 	drain   Rate
 	cut     time.Time
+	took    time.Duration
 }
 
+// Turn is what comes of a place that is given back: the items that come in for
+// it, and those whose turn came too late.
+type Turn struct {
+	In   []uint64
+	Late []uint64
+}
+
+// tookShare is the weight of a new service time in the mean.
+const tookShare = 0.05
+
 // Window is the number of items allowed in flight at present.
 func (ga *Gate) Window() float64 {
 	if ga.window == 0 {
@@ -119,10 +139,10 @@
 		ga.enter(it.Tenant)
 		return Decision{Answer: Admit}
 	}
-	if er := ga.tooLate(now, it); er != nil { // rule 3
+	if er := ga.tooLate(now, it); er != nil && !it.Again { // rule 3
 		return Decision{Answer: No, Error: er}
 	}
-	if ga.Queued() < ga.Depth {
+	if ga.Queued() < ga.Depth || it.Again {
 		ga.push(it)
 		return Decision{Answer: Wait}
 	}
@@ -152,7 +172,7 @@
 		return nil
 	}
 	wait := seconds(float64(ga.ahead(it.Priority.Rank())+1) / rate)
-	if now.Add(wait).Before(it.Deadline) {
+	if now.Add(seconds(max(ga.Margin, 1)*wait.Seconds()) + ga.took).Before(it.Deadline) {
 		return nil
 	}
 	return core.Refuse(core.CodeQueueWait, "the wait of %s would outlast the deadline", wait.Round(time.Millisecond)).
@@ -186,9 +206,9 @@
 	ga.flight++
 }
 
-// Leave takes an admitted item out and returns the ids of the waiting items
-// that come in for it.
-func (ga *Gate) Leave(now time.Time, tenant string, en End) []uint64 {
+// Leave takes an admitted item out, whose service took a time, and returns the
+// waiting items whose turn it is.
+func (ga *Gate) Leave(now time.Time, tenant string, en End, took time.Duration) Turn {
 	full := float64(ga.flight) >= ga.Window()
 	ga.flight--
 	if ga.running[tenant]--; ga.running[tenant] <= 0 {
@@ -197,6 +217,7 @@
 	switch en { // rule 1
 	case Served:
 		ga.drain.Add(now)
+		ga.took += time.Duration(tookShare * float64(took-ga.took))
 		if full {
 			ga.window = min(ga.Window()+1/ga.Window(), max(ga.Most, 1))
 		}
@@ -206,16 +227,20 @@
 			ga.window = max(ga.Window()*windowCut, ga.Least, 1)
 		}
 	}
-	var granted []uint64
+	var tu Turn
 	for float64(ga.flight) < ga.Window() {
 		it, found := ga.pop()
 		if !found {
 			break
 		}
+		if !it.Deadline.IsZero() && !now.Add(ga.took).Before(it.Deadline) { // rule 3
+			tu.Late = append(tu.Late, it.ID)
+			continue
+		}
 		ga.enter(it.Tenant)
-		granted = append(granted, it.ID)
+		tu.In = append(tu.In, it.ID)
 	}
-	return granted
+	return tu
 }
 
 // Cancel takes a waiting item out; it reports whether it was still waiting.
--- a/retry/plan.go
+++ b/retry/plan.go
@@ -17,9 +17,10 @@
 //  6. Retries take from a budget shared by all requests, so that they stay a
 //     set share of the load. Settle questions and re-attachments do not run
 //     anything and take nothing.
-//  7. A refusal for lack of room, or because one side's configuration is
-//     behind, is not a failure: the request looks for a place again after a
-//     short wait, a set number of times.
+//  7. A refusal because one side's configuration is behind is not a failure:
+//     the request is sent again after a short wait, a set number of times. A
+//     refusal for lack of room ends the plan for now; after its next turn in the
+//     queue, the request goes on with the same plan.
 //  8. What cannot be decided before the deadline is answered at once with the
 //     verdict so far.
 package retry
@@ -132,6 +133,9 @@
 	if pl.verdict != "" && !pl.Idempotent { // rule 4
 		return pl.finish()
 	}
+	if roomless(re.Error.Code) {
+		return pl.finish()
+	}
 	if passing(re.Error.Code) {
 		return pl.look(now)
 	}
@@ -158,10 +162,19 @@
 	return Next{Move: Elsewhere, Wait: wait}
 }
 
+// roomless reports the refusals for lack of room.
+func roomless(code core.Code) bool { return code == core.CodeFull || code == core.CodeLoanLimit }
+
+// Requeue reports whether a request that ended with this error may wait for
+// another turn: it found no room, and no attempt so far may have run.
+func (pl *Plan) Requeue(er *core.Error) bool {
+	return er != nil && roomless(er.Code) && er.Verdict == core.NotRun && pl.verdict == ""
+}
+
 // passing reports the refusals that a moment may lift.
 func passing(code core.Code) bool {
 	switch code {
-	case core.CodeFull, core.CodeLoanLimit, core.CodeStaleRevision, core.CodeNotReady, core.CodeOldIncarnation:
+	case core.CodeStaleRevision, core.CodeNotReady, core.CodeOldIncarnation:
 		return true
 	default:
 		return false
