--- a/entry/http.go
+++ b/entry/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -307,8 +306,3 @@
 	}
 	return lo, er
 }
-
-// patience bounds a call by the caller's own patience and the server's.
-func patience(ctx context.Context, most time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, most)
-}
--- a/entry/trainer.go
+++ b/entry/trainer.go
@@ -5,16 +5,12 @@
 	"encoding/json"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/go-kit/log/level"
-	"github.com/google/uuid"
 
 	"bilberryshelf/core"
-	"bilberryshelf/engine"
-	"bilberryshelf/loan"
 	"bilberryshelf/sample"
 	"bilberryshelf/wire"
 )
@@ -102,7 +98,7 @@
 	if owner == en.settings.Name || addr == "" {
 		res, err = en.Relay(req.Context(), rr)
 	} else {
-		ctx, cancel := patience(req.Context(), wait+spreadTimeout)
+		ctx, cancel := context.WithTimeout(req.Context(), wait+spreadTimeout)
 		defer cancel()
 		res, err = en.peer(addr).Relay(ctx, rr)
 	}
@@ -256,207 +252,3 @@
 		re.released = append(re.released, keys...)
 	}
 }
-
-// driveSteps starts the runs that the steps want.
-func (en *Entry) driveSteps(ctx context.Context) {
-	en.loop.Do(func() {
-		now := en.clock.Now()
-		for na, st := range en.steps {
-			if now.Sub(st.used) > stepHold {
-				delete(en.steps, na)
-				continue
-			}
-			for _, jo := range st.Want(now) {
-				go en.generate(ctx, na, st, jo)
-			}
-		}
-	})
-}
-
-// generate runs one slot and reports to its step.
-func (en *Entry) generate(ctx context.Context, name string, st *step, jo sample.Job) {
-	sa, certain, er := en.runSample(ctx, st, jo)
-	en.loop.Do(func() {
-		if er != nil {
-			st.Failed(en.clock.Now(), jo, max(er.RetryAfter, failedPause))
-			return
-		}
-		st.Finished(en.clock.Now(), jo, sa, certain)
-		close(st.news)
-		st.news = make(chan struct{})
-	})
-	if er != nil {
-		en.meters.Count("sample-failed", string(er.Code), 1)
-		level.Debug(en.logger).Log("event", "sample-failed", "step", name, "code", er.Code)
-		return
-	}
-	en.driveSteps(ctx)
-}
-
-// sampleBody is the completions request of one sample.
-type sampleBody struct {
-	Model     string `json:"model"`
-	Prompt    string `json:"prompt"`
-	MaxTokens int    `json:"max_tokens"`
-	Seed      int    `json:"seed"`
-	Stream    bool   `json:"stream"`
-}
-
-const sampleTimeout = 16 * time.Minute
-
-func (en *Entry) runSample(ctx context.Context, st *step, jo sample.Job) (sample.Sample, bool, *core.Error) {
-	var sa sample.Sample
-	sp := st.Spec
-	lo, er := en.find(sp.Trainer, sp.Service)
-	if er != nil {
-		return sa, false, er
-	}
-	body, err := json.Marshal(sampleBody{
-		Model: sp.Service, Prompt: sp.Prompts[jo.Slot.Group], MaxTokens: sp.MaxTokens,
-		Seed: jo.Slot.Index + 1, Stream: true,
-	})
-	if err != nil {
-		return sa, false, core.Refuse(core.CodeBadRequest, "%v", err)
-	}
-	rq := en.sampleRequest(sp, jo, lo, body)
-	tr := &transcript{}
-	var began time.Time
-	tr.started = func() { began = en.clock.Now() }
-	tr.progress = func(tokens int) {
-		took := en.clock.Now().Sub(began).Seconds()
-		target := tr.target
-		en.loop.Post(func() {
-			st.Progress(jo, tokens)
-			if re := en.remotes[target]; re != nil && took > 0 {
-				re.health.Paced(float64(tokens) / took)
-			}
-		})
-	}
-	if er := en.perform(ctx, rq, tr); er != nil {
-		return sa, false, er
-	}
-	sa.Text = tr.text.String()
-	for _, se := range tr.segments {
-		sa.Segments = append(sa.Segments, sample.Segment{Version: se.Version, Tokens: int(se.Tokens)})
-	}
-	return sa, len(tr.segments) > 0, nil
-}
-
-func (en *Entry) sampleRequest(sp sample.Spec, jo sample.Job, lo loan.Loan, body []byte) *request {
-	const path = "/v1/completions"
-	deadline := en.clock.Now().Add(sampleTimeout)
-	if !sp.Deadline.IsZero() && sp.Deadline.Before(deadline) && sp.Deadline.After(en.clock.Now()) {
-		deadline = sp.Deadline
-	}
-	return &request{
-		id: uuid.NewString(), tenant: sp.Trainer, service: sp.Service, loan: lo,
-		method: http.MethodPost, path: path, body: body,
-		headers: []*wire.Header{{Name: "Content-Type", Value: "application/json"}},
-		digest:  core.Digest(http.MethodPost, sp.Service+path, body), idempotent: true,
-		key: sp.Key(jo), priority: lo.Priority, deadline: deadline,
-		prefix: prefixOf(sp.Trainer, []byte(sp.Prompts[jo.Slot.Group])),
-		model:  true, sample: true, least: jo.Least,
-	}
-}
-
-// transcript receives a sample.
-type transcript struct {
-	stream   engine.Stream
-	text     strings.Builder
-	closed   bool
-	segments []*wire.Segment
-	tokens   int
-	target   string
-	// started is told of a new answer, progress of the tokens so far, now and
-	// then.
-	started  func()
-	progress func(tokens int)
-}
-
-// progressEvery is the number of tokens between two reports of progress.
-const progressEvery = 64
-
-func (tr *transcript) begin(head *wire.Head, target string) *core.Error {
-	*tr = transcript{started: tr.started, progress: tr.progress, target: target}
-	tr.started()
-	if head.Status != http.StatusOK {
-		return core.Doubt(core.CodeAnswerCut, "the engine answered with status %d", head.Status)
-	}
-	return nil
-}
-
-func (tr *transcript) take(raw []byte) *core.Error {
-	for _, ev := range tr.stream.Feed(raw) {
-		if ev.Failed {
-			return core.Doubt(core.CodeAnswerCut, "the engine ended its stream with an error")
-		}
-		tr.text.WriteString(ev.Text)
-		if tr.tokens += ev.Tokens; ev.Tokens > 0 && tr.tokens%progressEvery == 0 {
-			tr.progress(tr.tokens)
-		}
-		tr.closed = tr.closed || ev.Last
-	}
-	return nil
-}
-
-func (tr *transcript) end(end *wire.End) *core.Error {
-	if !tr.closed {
-		return core.Doubt(core.CodeAnswerCut, "the engine ended its stream without the end mark")
-	}
-	tr.segments = end.Segments
-	return nil
-}
-
-func (tr *transcript) spoilt() bool { return false }
-
-// weights is what a trainer announces.
-type weights struct {
-	Service string `json:"service"`
-	Version uint64 `json:"version"`
-	Object  string `json:"object"`
-}
-
-// weightsAccepted is the answer to an announcement.
-type weightsAccepted struct {
-	Service    string `json:"service"`
-	Version    uint64 `json:"version"`
-	Generation uint64 `json:"generation"`
-}
-
-// publishWeights accepts new weights. A version is accepted once; announcing
-// it again is answered alike, an older one is refused.
-func (en *Entry) publishWeights(out http.ResponseWriter, req *http.Request, name string) *core.Error {
-	var we weights
-	if er := en.readJSON(out, req, &we); er != nil {
-		return er
-	}
-	if we.Service == "" || we.Version == 0 {
-		return core.Refuse(core.CodeBadRequest, "service and a version of 1 or more are needed")
-	}
-	if _, er := en.find(name, we.Service); er != nil {
-		return er
-	}
-	now := en.clock.Now()
-	bo, er := en.commit(req.Context(), uuid.NewString(), name, func(bo loan.Book) (loan.Book, *core.Error) {
-		present := bo.Version(we.Service)
-		if we.Version <= present.Number {
-			return bo, core.Refuse(core.CodeConflict, "version %d of %s is in force already", present.Number, we.Service)
-		}
-		return bo.WithVersion(loan.Version{
-			Service: we.Service, Number: we.Version, Object: we.Object, Trainer: name, Announced: now,
-		}), nil
-	})
-	if er != nil && en.announced(we, name) {
-		return writeJSON(out, weightsAccepted{Service: we.Service, Version: we.Version, Generation: en.view.Load().book.Generation})
-	}
-	if er != nil {
-		return er
-	}
-	return writeJSON(out, weightsAccepted{Service: we.Service, Version: we.Version, Generation: bo.Generation})
-}
-
-// announced reports whether this very announcement is in force.
-func (en *Entry) announced(we weights, name string) bool {
-	ve := en.view.Load().book.Version(we.Service)
-	return ve.Number == we.Version && ve.Object == we.Object && ve.Trainer == name
-}
--- a/store/table.go
+++ b/store/table.go
@@ -9,7 +9,6 @@
 	"github.com/aws/aws-sdk-go-v2/credentials"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
-	"github.com/aws/smithy-go"
 	"github.com/cockroachdb/errors"
 )
 
@@ -131,10 +130,3 @@
 }
 
 func text(value string) types.AttributeValue { return &types.AttributeValueMemberS{Value: value} }
-
-// IsRefusal reports whether the service answered that it did not take a
-// write, as opposed to an answer that is missing.
-func IsRefusal(err error) bool {
-	var api smithy.APIError
-	return errors.As(err, &api) && api.ErrorFault() == smithy.FaultClient
-}
