--- a/guard/admit.go
+++ b/guard/admit.go
@@ -96,7 +96,17 @@
 	if lo.CutOff == loan.Stop && now.Sub(gu.contact) > gu.settings.Timing.LostContact.Std() {
 		return core.Refuse(core.CodeNoLoan, "loan %s stops while the guard hears from no entry", lo.ID)
 	}
-	return lo.Admit(now, gu.work[lo.ID], gu.settings.Timing.ClockSkew.Std())
+	return lo.Admit(now, gu.workOf(lo.ID).Lead(), gu.settings.Timing.ClockSkew.Std())
+}
+
+// workOf is what was seen of the work under a loan.
+func (gu *Guard) workOf(id string) *loan.Work {
+	wo := gu.work[id]
+	if wo == nil {
+		wo = &loan.Work{}
+		gu.work[id] = wo
+	}
+	return wo
 }
 
 // aloneHold is how long places are kept free for a request that must run
@@ -175,7 +185,7 @@
 	}
 	if oc == fence.Done {
 		gu.finished.Add(now)
-		gu.work[ru.loan] = max(gu.work[ru.loan], now.Sub(ru.started))
+		gu.workOf(ru.loan).Seen(now.Sub(ru.started))
 	}
 	close(ru.done)
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -72,7 +72,7 @@
 	running  map[core.ID]*run
 	byKey    map[string]*run
 	perLoan  map[string]int
-	work     map[string]time.Duration
+	work     map[string]*loan.Work
 	finished limit.Rate
 	alone    core.ID
 	reserved time.Time
@@ -116,7 +116,7 @@
 		running: map[core.ID]*run{},
 		byKey:   map[string]*run{},
 		perLoan: map[string]int{},
-		work:    map[string]time.Duration{},
+		work:    map[string]*loan.Work{},
 	}
 	return gu
 }
@@ -190,8 +190,8 @@
 	gu.meters.Gauge("keys-known", "", int64(keys))
 	gu.meters.Gauge("in-flight", "", int64(len(gu.running)))
 	gu.dropDeaths(now)
-	for id, length := range gu.work {
-		gu.work[id] = length - length/workForget
+	for _, wo := range gu.work {
+		wo.Forget()
 	}
 }
 
@@ -202,10 +202,6 @@
 	sweepFew  = 4
 )
 
-// workForget is the part of the observed length of work that is forgotten at
-// every health check.
-const workForget = 256
-
 // Ready reports whether the guard would let new work through.
 func (gu *Guard) Ready() bool {
 	ready := false
