--- a/route/choose.go
+++ b/route/choose.go
@@ -13,7 +13,10 @@
 //     the prefix, whose load is below LoadBound times the mean; so the prefix
 //     stays in one cache until that target is busier than the others.
 //  4. Otherwise two targets are drawn and the less loaded one is taken.
-//  5. The load is what the target reported, corrected by what this entry has
+//  5. When more than half of the targets are out of full health, health is
+//     ignored: then it is the load or the network, and taking targets out would
+//     only load the others more.
+//  6. The load is what the target reported, corrected by what this entry has
 //     started and finished since the report.
 package route
 
@@ -55,7 +58,7 @@
 	Return float64
 }
 
-// Load estimates the requests in progress (rule 5).
+// Load estimates the requests in progress (rule 6).
 func (ta Target) Load() int {
 	mine := 0
 	if ta.Mine != nil {
@@ -132,9 +135,15 @@
 
 // candidates lists the targets with room in this region and in others (rule 1).
 func candidates(vi View, as Ask) (near, far []Target, known bool) {
-	well := as.Healthy && anyWell(vi, as)
+	well, ill := countHealth(vi, as)
 	for _, ta := range vi.Targets {
-		if !eligible(ta, as) || (well && ta.Return < SlowSpeed) {
+		if !eligible(ta, as) {
+			continue
+		}
+		if ill > well { // rule 5
+			ta.Return = 1
+		}
+		if as.Healthy && well > 0 && ta.Return < SlowSpeed {
 			continue
 		}
 		known = true
@@ -153,14 +162,18 @@
 	return near, far, known
 }
 
-// anyWell reports whether a target in full health serves.
-func anyWell(vi View, as Ask) bool {
+// countHealth counts the eligible targets in and out of full health.
+func countHealth(vi View, as Ask) (well, ill int) {
 	for _, ta := range vi.Targets {
-		if eligible(ta, as) && ta.Return >= SlowSpeed {
-			return true
+		switch {
+		case !eligible(ta, as):
+		case ta.Return >= SlowSpeed:
+			well++
+		default:
+			ill++
 		}
 	}
-	return false
+	return well, ill
 }
 
 func eligible(ta Target, as Ask) bool {
--- a/route/health.go
+++ b/route/health.go
@@ -35,8 +35,9 @@
 
 	// latencyShare is the weight of a new answer time in the mean.
 	latencyShare = 0.1
-	// slowFloor is the mean answer time below which no target counts as slow.
-	slowFloor = 50 * time.Millisecond
+	// slowFloor is the mean time to the first byte below which no target counts
+	// as slow; prompts that are not cached take part of a second anywhere.
+	slowFloor = time.Second
 	// speedShare is the weight of a new speed in the mean.
 	speedShare = 0.05
 )
