--- a/entry/hello.go
+++ b/entry/hello.go
@@ -40,7 +40,7 @@
 	if !en.loop.Do(func() { req = en.helloRequest(re) }) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	ctx, cancel := context.WithTimeout(ctx, en.settings.Timing.HelloTimeout.Std())
 	defer cancel()
 	then := int(re.mine.Load())
 	res, err := re.client.Hello(ctx, req)
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -107,8 +107,6 @@
 	mostMisses = 3
 	// missedPause is the time until a hello follows one that was missed.
 	missedPause = 250 * time.Millisecond
-	// helloTimeout bounds one hello.
-	helloTimeout = 500 * time.Millisecond
 )
 
 // readList takes in the platform's list of instances. The list lags, so a
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -95,6 +95,7 @@
 // EntryTiming is the spans that an entry works by.
 type EntryTiming struct {
 	HelloEvery     Duration `toml:"hello-every"`
+	HelloTimeout   Duration `toml:"hello-timeout"`
 	SpreadEvery    Duration `toml:"spread-every"`
 	PollEvery      Duration `toml:"poll-every"`
 	ListEvery      Duration `toml:"list-every"`
@@ -172,7 +173,7 @@
 			MostInFlight: 2048, SubsetSize: 32, RetryShare: 0.1, Attempts: 3,
 		},
 		Timing: EntryTiming{
-			HelloEvery: span(2 * time.Second), SpreadEvery: span(time.Second), PollEvery: span(5 * time.Second),
+			HelloEvery: span(2 * time.Second), HelloTimeout: span(500 * time.Millisecond), SpreadEvery: span(time.Second), PollEvery: span(5 * time.Second),
 			ListEvery: span(5 * time.Second), StartWithin: span(5 * time.Second), SettleTimeout: span(time.Second),
 			DefaultTimeout: span(2 * time.Minute), KeyHold: span(10 * time.Minute), ReadTimeout: span(30 * time.Second),
 			PoisonLapse: span(10 * time.Minute), DrainDelay: span(2 * time.Second),
@@ -409,6 +410,7 @@
 	ch.need(en.Limits.RetryShare >= 0 && en.Limits.RetryShare <= 1, "limits.retry-share", "must be from 0 to 1")
 	ch.need(en.Limits.Attempts >= 1, "limits.attempts", "must be 1 or more")
 	ch.need(en.Timing.HelloEvery > 0, "timing.hello-every", "must be more than 0s")
+	ch.need(en.Timing.HelloTimeout > 0, "timing.hello-timeout", "must be more than 0s")
 	ch.need(en.Timing.SpreadEvery > 0, "timing.spread-every", "must be more than 0s")
 	ch.need(en.Timing.PollEvery > 0, "timing.poll-every", "must be more than 0s")
 	ch.need(en.Timing.ListEvery > 0, "timing.list-every", "must be more than 0s")
