fence: a guard that is still starting promises nothing

Cause (found by reading): between its first listening and the choice of its incarnation a guard answered a settle question about a key with forbidden out of a table that its start then replaced, so the key's former home could have run it after its new home did. Ruled out for attempts: an entry never sends to incarnation 0. Before: TestNoIncarnationNoPromise failed (let through, forbidden). After: it passes; a table without an incarnation refuses and answers unknown.

--- a/fence/table.go
+++ b/fence/table.go
@@ -4,7 +4,9 @@
 // The table of attempts follows these rules.
 //
 //  1. An attempt names the incarnation (the start) of the guard it was meant
-//     for. Another incarnation refuses it with not-run.
+//     for. Another incarnation refuses it with not-run. A table without an
+//     incarnation refuses everything and answers every question with unknown:
+//     its guard is still starting, and what it says would be forgotten.
 //  2. An attempt carries a deadline in the guard's clock. It is refused with
 //     not-run from its deadline on, when it arrives and again right before
 //     the first byte goes to the target.
@@ -133,7 +135,7 @@
 
 // Begin admits or refuses an attempt. With Replay it returns the kept answer.
 func (ta *Table) Begin(now time.Time, ti Ticket) (Pass, any, *core.Error) {
-	if ti.Incarnation != ta.Incarnation { // rule 1
+	if ta.Incarnation == 0 || ti.Incarnation != ta.Incarnation { // rule 1
 		return "", nil, core.Refuse(core.CodeOldIncarnation, "meant for incarnation %d, this is %d", ti.Incarnation, ta.Incarnation)
 	}
 	if !now.Before(ti.Deadline) { // rule 2
@@ -253,7 +255,7 @@
 // Settle answers what became of an attempt, and forbids a never-seen one
 // whose deadline is given (rules 3, 4 and 5).
 func (ta *Table) Settle(now time.Time, id core.ID, incarnation uint64, deadline time.Time) Settled {
-	if incarnation != ta.Incarnation {
+	if ta.Incarnation == 0 || incarnation != ta.Incarnation { // rules 1 and 5
 		return Unknown
 	}
 	at, seen := ta.attempts[id]
@@ -285,6 +287,8 @@
 func (ta *Table) SettleKey(now time.Time, key string, hold time.Duration) Settled {
 	ke, known := ta.keys[key]
 	switch {
+	case ta.Incarnation == 0: // rule 1
+		return Unknown
 	case !known && now.Before(ta.Quarantine):
 		return Unknown
 	case !known:
--- a/fence/table_test.go
+++ b/fence/table_test.go
@@ -256,3 +256,16 @@
 	}
 	require.Zero(t, attempts)
 }
+
+// A guard that has not chosen its incarnation yet knows nothing and promises
+// nothing: what it forbade now would be forgotten with its first table.
+func TestNoIncarnationNoPromise(t *testing.T) {
+	ta := &fence.Table{Grace: time.Second}
+	ti := ticket(1, "k")
+	ti.Incarnation = 0
+	_, _, er := ta.Begin(at(0), ti)
+	require.NotNil(t, er)
+	require.Equal(t, core.CodeOldIncarnation, er.Code)
+	require.Equal(t, fence.Unknown, ta.Settle(at(0), core.ID{2}, 0, at(50)))
+	require.Equal(t, fence.Unknown, ta.SettleKey(at(0), "other", time.Second))
+}
