entry, guard, wire: one median of the other targets, one loop over headers

typicalSpeed and typicalFirst were copies of one another, and entry and guard each had the same loop over headers with another list to skip. No change of what they do.

--- a/entry/http.go
+++ b/entry/http.go
@@ -208,7 +208,7 @@
 	}
 	rq := &request{
 		id: uuid.NewString(), tenant: name, service: service, loan: lo,
-		method: req.Method, path: path, headers: passedHeaders(req.Header), body: raw,
+		method: req.Method, path: path, headers: wire.Headers(req.Header, keptHeaders), body: raw,
 		digest: core.Digest(req.Method, service+path, raw), idempotent: idempotent,
 	}
 	if er := rq.readHeaders(req.Header, now, en.settings.Timing.DefaultTimeout.Std()); er != nil {
@@ -264,19 +264,6 @@
 	"Accept-Encoding": true, "Host": true, headerPriority: true, headerTimeout: true, headerIdempotent: true,
 }
 
-func passedHeaders(he http.Header) []*wire.Header {
-	var out []*wire.Header
-	for na, values := range he {
-		if keptHeaders[na] {
-			continue
-		}
-		for _, va := range values {
-			out = append(out, &wire.Header{Name: na, Value: va})
-		}
-	}
-	return out
-}
-
 // answer performs a caller's request and writes what became of it.
 //
 // A refusal of a request with a caller's key speaks of the key: an earlier
--- a/entry/request.go
+++ b/entry/request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -222,32 +223,29 @@
 }
 
 // typicalSpeed is the median speed of generations at the other targets of the
-// service; zero if fewer than two are known.
+// service, and typicalFirst their median time to the head; zero if fewer than
+// two are known. They run on the loop.
 func (en *Entry) typicalSpeed(than *remote) float64 {
-	var others []float64
-	for _, re := range en.remotes {
-		if re != than && re.inst.Service == than.inst.Service && re.health.Speed() > 0 {
-			others = append(others, re.health.Speed())
-		}
-	}
-	if len(others) < leastPeers {
-		return 0
-	}
-	slices.Sort(others)
-	return others[len(others)/2]
+	return typical(en, than, func(re *remote) float64 { return re.health.Speed() })
 }
 
-// typicalFirst is the median time to the head at the other targets of the
-// service; zero if fewer than two are known.
 func (en *Entry) typicalFirst(than *remote) time.Duration {
-	var others []time.Duration
+	return typical(en, than, func(re *remote) time.Duration { return re.health.Latency() })
+}
+
+// typical is the median of what is known of the other targets of a service.
+func typical[T cmp.Ordered](en *Entry, than *remote, value func(re *remote) T) T {
+	var (
+		others []T
+		zero   T
+	)
 	for _, re := range en.remotes {
-		if re != than && re.inst.Service == than.inst.Service && re.health.Latency() > 0 {
-			others = append(others, re.health.Latency())
+		if known := value(re); re != than && re.inst.Service == than.inst.Service && known > zero {
+			others = append(others, known)
 		}
 	}
 	if len(others) < leastPeers {
-		return 0
+		return zero
 	}
 	slices.Sort(others)
 	return others[len(others)/2]
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -165,7 +165,7 @@
 	if busy := gu.busyEngine(res); busy != nil {
 		return nil, busy
 	}
-	head := &wire.Head{Id: req.Id, Status: int32(res.StatusCode), Headers: wireHeaders(res.Header)}
+	head := &wire.Head{Id: req.Id, Status: int32(res.StatusCode), Headers: wire.Headers(res.Header, hopHeaders)}
 	events := strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
 	pa := passage{out: out, events: events, clock: gu.clock, labels: ru.labels, keep: ru.key != "", most: int(gu.settings.Limits.MaxAnswer), hash: xxhash.New()}
 	pa.head = head
@@ -339,19 +339,6 @@
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
 }
 
-func wireHeaders(he http.Header) []*wire.Header {
-	var out []*wire.Header
-	for na, values := range he {
-		if hopHeaders[na] {
-			continue
-		}
-		for _, va := range values {
-			out = append(out, &wire.Header{Name: na, Value: va})
-		}
-	}
-	return out
-}
-
 func refusalFrame(id []byte, er *core.Error) *wire.DispatchFrame {
 	return &wire.DispatchFrame{Frame: &wire.DispatchFrame_Refusal{Refusal: &wire.Refusal{
 		Id: id, Verdict: string(er.Verdict), Code: string(er.Code), Text: er.Text,
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -65,3 +65,17 @@
 	err := protodelim.UnmarshalOptions{MaxSize: mostFrame}.UnmarshalFrom(fr.in, frame)
 	return frame, err
 }
+
+// Headers takes over the headers of a request or answer but for those to skip.
+func Headers(he http.Header, skip map[string]bool) []*Header {
+	var out []*Header
+	for na, values := range he {
+		if skip[na] {
+			continue
+		}
+		for _, va := range values {
+			out = append(out, &Header{Name: na, Value: va})
+		}
+	}
+	return out
+}
