gossip, entry: news beside the steady pace no longer uses it up

Cause (found by reading): news of a target's death, and the search for a newer book, took their peers from Tick, which also counts a round of pushing and marks a due poll as made; the poll was then not made, so that the head row was read up to one poll-every later than it should be. Ruled out: a wrong adoption (only the pace was touched). Now Some draws peers and nothing else; its test holds rounds and poll.

--- a/entry/spread.go
+++ b/entry/spread.go
@@ -179,7 +179,7 @@
 	if en.book.Generation >= above {
 		return
 	}
-	peers, _ := en.node.Tick(en.clock.Now())
+	peers := en.node.Some()
 	go func() {
 		for _, na := range peers {
 			en.exchange(en.ctx, na)
@@ -240,7 +240,7 @@
 // tellPeers brings what was just learnt of a bad request to a few peers.
 func (en *Entry) tellPeers() {
 	var peers []string
-	en.loop.Do(func() { peers, _ = en.node.Tick(en.clock.Now()) })
+	en.loop.Do(func() { peers = en.node.Some() })
 	for _, na := range peers {
 		go en.exchange(en.ctx, na)
 	}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -65,6 +65,10 @@
 	return no.draw(count), no.due(now)
 }
 
+// Some draws peers for news beside the steady pace. It uses up neither a round
+// of pushing nor a poll that is due.
+func (no *Node) Some() []string { return no.draw(max(no.Fanout, 1)) }
+
 func (no *Node) due(now time.Time) bool {
 	if no.Poll <= 0 {
 		return false
--- a/gossip/spread_test.go
+++ b/gossip/spread_test.go
@@ -274,6 +274,25 @@
 	require.Equal(t, uint64(5), no.Generation())
 }
 
+// News beside the pace takes nothing from it: the rounds of pushing and the
+// poll come as they would have.
+func TestSomeTakesNothingFromThePace(t *testing.T) {
+	no := &gossip.Node{Fanout: 2, Rounds: 1, Poll: time.Second, Random: rand.New(rand.NewPCG(1, 1))}
+	no.SetPeers([]string{"a", "b", "c"})
+	no.Tick(began) // sets the phase of the poll
+	no.Adopt(1)
+	later := began.Add(2 * time.Second)
+	for range 5 {
+		require.Len(t, no.Some(), 2)
+	}
+	peers, poll := no.Tick(later)
+	require.Len(t, peers, 2, "the round of pushing")
+	require.True(t, poll)
+	peers, poll = no.Tick(later)
+	require.Len(t, peers, 1)
+	require.False(t, poll)
+}
+
 func ExampleNode() {
 	no := &gossip.Node{Fanout: 2, Random: rand.New(rand.NewPCG(1, 1))}
 	no.SetPeers([]string{"entry-2", "entry-3"})
