entry, retry: a settle question names the deadline of the attempt itself

Cause: the entry counted the deadline in a settle question from the question. A guard that had finished an attempt and forgotten it (deadline and grace over) took it for one never seen, answered forbidden, and the request ran a second time elsewhere, or was refused as not run.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -133,11 +133,12 @@
 	if rq.keyed {
 		hold = en.settings.Timing.KeyHold.Std()
 	}
+	ch.startBy = en.startBy(co, rq, now)
 	vi := en.view.Load()
 	ta, _ := vi.book.Target(co.Name)
 	req := &wire.DispatchRequest{
 		Id: id[:], Incarnation: co.Incarnation, Entry: en.settings.Name,
-		DeadlineNanos: en.startBy(co, rq, now).UnixNano(),
+		DeadlineNanos: ch.startBy.UnixNano(),
 		Service:       rq.service, Loan: at.loan.ID, Tenant: rq.tenant, Priority: string(rq.priority),
 		Idempotent: rq.idempotent, Key: rq.key, KeyHoldNanos: int64(hold),
 		Digest: rq.digest, Method: rq.method, Path: rq.path, Headers: rq.headers, Body: rq.body,
--- a/entry/request.go
+++ b/entry/request.go
@@ -121,6 +121,8 @@
 	tried []string
 	at    place
 	id    core.ID
+	// startBy is the deadline of the last attempt, in its guard's clock.
+	startBy time.Time
 }
 
 func (en *Entry) newChase(rq *request, rc receiver) *chase {
@@ -153,7 +155,7 @@
 // follow makes one move; an empty report means that the answer is whole.
 func (en *Entry) follow(ctx context.Context, ch *chase, move retry.Move) retry.Report {
 	if move == retry.Ask {
-		return en.settle(ctx, ch.at, ch.id)
+		return en.settle(ctx, ch)
 	}
 	if move != retry.Attach {
 		at, er := en.place(ctx, ch)
@@ -268,13 +270,14 @@
 	}
 }
 
-// settle asks a guard what became of an attempt.
-func (en *Entry) settle(ctx context.Context, at place, id core.ID) retry.Report {
+// settle asks a guard what became of the last attempt. The question names the
+// attempt's own deadline, by which the guard tells an attempt that it never saw
+// from one that it has forgotten.
+func (en *Entry) settle(ctx context.Context, ch *chase) retry.Report {
 	ctx, cancel := context.WithTimeout(ctx, en.settings.Timing.SettleTimeout.Std())
 	defer cancel()
-	co := at.contact
-	until := co.deadline(en.clock.Now(), en.settings.Timing.StartWithin.Std())
-	res, err := co.client.Settle(ctx, &wire.SettleRequest{Id: id[:], Incarnation: co.Incarnation, ForbidUntilNanos: until.UnixNano()})
+	co := ch.at.contact
+	res, err := co.client.Settle(ctx, &wire.SettleRequest{Id: ch.id[:], Incarnation: co.Incarnation, ForbidUntilNanos: ch.startBy.UnixNano()})
 	if err != nil {
 		return retry.Report{Event: retry.Unsettled, Error: core.Doubt(core.CodeTargetLost, "the guard does not say what became of it")}
 	}
--- a/retry/model_test.go
+++ b/retry/model_test.go
@@ -24,6 +24,7 @@
 	noKeys       bool // the guard forgets keys
 	noQuarantine bool // a restarted guard trusts its empty table
 	noCommit     bool // the deadline is not checked again before the first byte
+	lateSettle   bool // a settle question names a deadline counted from now
 }
 
 // chooser draws numbers below a bound.
@@ -81,6 +82,7 @@
 	id     core.ID
 	inc    uint64
 	key    string
+	until  time.Time
 }
 
 type messageKind string
@@ -265,9 +267,13 @@
 	se.id = core.ID{byte(wo.nextID), byte(wo.nextID >> 8)}
 	se.inc = wo.known[se.entry][se.guard]
 	se.phase = attempting
+	se.until = wo.now.Add(modelStartWithin)
+	if se.plan.Deadline.Before(se.until) { // as entry.startBy has it
+		se.until = se.plan.Deadline
+	}
 	wo.net = append(wo.net, message{
 		kind: dispatchMessage, send: se, guard: se.guard, id: se.id, inc: se.inc,
-		until: wo.now.Add(modelStartWithin), key: se.key, idem: se.call.idempotent,
+		until: se.until, key: se.key, idem: se.call.idempotent,
 		fresh: !se.call.keyed && !se.plan.InDoubt(), number: se.call.number,
 	})
 }
@@ -520,8 +526,12 @@
 		wo.end(se, next.Error, 0)
 	case retry.Ask:
 		se.phase = asking
+		until := se.until
+		if wo.mutant.lateSettle {
+			until = wo.now.Add(modelStartWithin)
+		}
 		wo.net = append(wo.net, message{
-			kind: settleMessage, send: se, guard: se.guard, id: se.id, inc: se.inc, until: wo.now.Add(modelStartWithin),
+			kind: settleMessage, send: se, guard: se.guard, id: se.id, inc: se.inc, until: until,
 		})
 	case retry.Attach:
 		se.phase, se.again = placing, true
--- a/retry/promise_test.go
+++ b/retry/promise_test.go
@@ -66,7 +66,7 @@
 	}
 	for name, mu := range map[string]mutant{
 		"no-settle": {noSettle: true}, "no-tombstone": {noTombstone: true}, "no-deadline": {noDeadline: true},
-		"no-keys": {noKeys: true}, "no-quarantine": {noQuarantine: true}, "no-commit-check": {noCommit: true},
+		"no-keys": {noKeys: true}, "no-quarantine": {noQuarantine: true}, "no-commit-check": {noCommit: true}, "late-settle": {lateSettle: true},
 	} {
 		for seed := range uint64(mostSeeds) {
 			if fault := play(mu, modelSteps, seeded(seed)); fault != "" {
