--- a/retry/promise_test.go
+++ b/retry/promise_test.go
@@ -50,7 +50,15 @@
 		mutant mutant
 		seed   uint64
 		fault  string
-	}{} {
+	}{
+		{"no-settle", mutant{noSettle: true}, 0, "call 1 was refused as not run and ran"},
+		{"no-tombstone", mutant{noTombstone: true}, 518, "call 0 ran 2 times"},
+		{"no-deadline", mutant{noDeadline: true}, 34, "call 2 was refused as not run and ran"},
+		{"no-keys", mutant{noKeys: true}, 3, "call 1 ran 2 times"},
+		{"no-quarantine", mutant{noQuarantine: true}, 103, "call 3 ran 2 times"},
+		{"no-commit-check", mutant{noCommit: true}, 0, "call 1 started after its deadline"},
+		{"late-settle", mutant{lateSettle: true}, 3278, "call 2 was refused as not run and ran"},
+	} {
 		t.Run(tc.name, func(t *testing.T) {
 			require.Equal(t, tc.fault, play(tc.mutant, modelSteps, seeded(tc.seed)))
 			require.Empty(t, play(mutant{}, modelSteps, seeded(tc.seed)))
