--- /dev/null
+++ b/boot/node.go
@@ -0,0 +1,98 @@
+package boot
+
+import (
+	"net/http"
+	"runtime/debug"
+
+	"github.com/go-kit/log"
+
+	"bilberryshelf/core"
+	"bilberryshelf/intake"
+	"bilberryshelf/meter"
+	"bilberryshelf/order"
+	"bilberryshelf/platform"
+	"bilberryshelf/server"
+	"bilberryshelf/setup"
+	"bilberryshelf/table"
+	"bilberryshelf/via"
+	"bilberryshelf/wire/wireconnect"
+)
+
+const (
+	// heapShare is the part of the machine's memory at which the collector works
+	// harder; the rest is for stacks, buffers and bytes that are not read yet.
+	heapShare = 0.6
+	// gcPercent keeps the heap small: memory is paid for by its peak.
+	gcPercent = 50
+)
+
+// boundMemory sets the collector to the machine's memory.
+func boundMemory(ma setup.Machine) {
+	debug.SetMemoryLimit(int64(heapShare * float64(ma.Memory)))
+	debug.SetGCPercent(gcPercent)
+}
+
+// NodeEntry builds an entry on the platform.
+func NodeEntry(se setup.Hosted, lg log.Logger) (Daemon, error) {
+	boundMemory(se.Machine)
+	me := &meter.Set{}
+	store, targets := platform.NewStore(se.Store.Address), platform.NewTargets()
+	inner := &http.Client{Transport: innerTransport()}
+	en := intake.New(intake.Settings{
+		Node: se.Name, Domain: se.Place.FailureDomain, Inner: se.Listen.Inner, Grace: se.Timing.Grace.Std(),
+	}, intake.Ports{
+		Direct: store, Sender: targets, Engine: targets,
+		Dial: func(addr string) table.Caller { return via.NewClient(inner, addr) },
+	}, intake.Decoders{
+		OperatorTable: platform.OperatorTable, TargetTable: platform.TargetTable,
+		Config: platform.DecodeConfig, Target: platform.DecodeTarget,
+	}, core.SystemClock{}, lg, me)
+	front := &platform.Front{Service: en, Logger: lg}
+	mux := http.NewServeMux()
+	mux.Handle(wireconnect.NewTableServiceHandler(via.Service{Direct: store}))
+	return daemon(en, map[string]http.Handler{
+		se.Listen.Callers: front, se.Listen.Readiness: front, se.Listen.Inner: mux, se.Listen.Metrics: metricsHandler(me),
+	})
+}
+
+// NodeGuard builds the guard of an engine on the platform.
+func NodeGuard(se setup.Hosted, lg log.Logger) (Daemon, error) {
+	boundMemory(se.Machine)
+	me := &meter.Set{}
+	gu := &order.Guard{
+		Name: se.Name, Addr: se.Engine.Address, Service: se.Engine.Service,
+		Port: platform.NewEngine(se.Engine.Address), Store: platform.NewStore(se.Store.Address),
+		Clock: core.SystemClock{}, Logger: lg, Meters: me,
+		OperatorTable: platform.OperatorTable, TargetTable: platform.TargetTable,
+		Config: platform.DecodeConfig, Version: platform.DecodeVersion, Target: platform.DecodeTarget,
+	}
+	return daemon(order.NewPart(gu), map[string]http.Handler{se.Listen.Metrics: metricsHandler(me)})
+}
+
+func metricsHandler(me *meter.Set) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", me)
+	return mux
+}
+
+// daemon listens on each address.
+func daemon(pa Part, handlers map[string]http.Handler) (Daemon, error) {
+	da := Daemon{Part: pa}
+	for addr, handler := range handlers {
+		se := &server.Server{Handler: handler}
+		if err := se.Listen(addr); err != nil {
+			return Daemon{}, err
+		}
+		da.Servers = append(da.Servers, se)
+	}
+	return da, nil
+}
+
+// innerIdle is the number of unused connections kept to a peer.
+const innerIdle = 2
+
+func innerTransport() *http.Transport {
+	tr := http.DefaultTransport.(*http.Transport).Clone()
+	tr.Proxy, tr.MaxIdleConnsPerHost, tr.DisableCompression = nil, innerIdle, true
+	return tr
+}
--- /dev/null
+++ b/calls/calls.go
@@ -0,0 +1,238 @@
+// Package calls serves plain requests: one request, one whole answer.
+//
+// The load pattern: a few short requests a second beside the scoring calls of
+// a step, which come in bursts; targets that turn slow, lose answers, spoil
+// them, leave, or fall silent.
+//
+//  1. A request goes to the less loaded of two targets drawn among those that
+//     are ready and not resting, in the caller's failure domain first while it
+//     has room.
+//  2. A refusal with not-run leads to another target at once. When MostRefusals
+//     targets refused, the caller is refused with the time to come back.
+//  3. An idempotent request whose target fails or gives no sound answer goes to
+//     another target. One that has no answer after HedgeShare of its objective
+//     is sent to a second target beside the first; the first sound answer wins
+//     and the other is dropped.
+//  4. No request is run by more targets than its route permits.
+//  5. A request that may run only once is never sent again after a doubt.
+//  6. A target that fails rests, longer each time in a row.
+package calls
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"bilberryshelf/conf"
+	"bilberryshelf/core"
+	"bilberryshelf/fleet"
+	"bilberryshelf/meter"
+)
+
+const (
+	// HedgeShare is the part of the objective after which a second target is
+	// asked.
+	HedgeShare = 0.4
+	// MostRefusals bounds the targets that are asked before the caller is
+	// refused.
+	MostRefusals = 4
+	// defaultObjective stands in for a route without one.
+	defaultObjective = 500 * time.Millisecond
+	// leastTime is the least time left with which a target is asked.
+	leastTime = 5 * time.Millisecond
+)
+
+// Request is a request to one target of a service.
+type Request struct {
+	ID     string
+	Method string
+	// URI is the path and query as the caller sent them.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	Route  conf.Route
+	// Deadline is when the caller leaves or the route's bound is reached.
+	Deadline time.Time
+	// Bounded tells that the caller sent a deadline.
+	Bounded bool
+}
+
+// Answer is the whole answer of a target.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Stamp is the target's signature of the answer.
+	Stamp string
+	// Running and Slots are the load that the target told; Slots is zero if it
+	// told none.
+	Running, Waiting, Slots int
+}
+
+// Sender sends a request to a target. Its errors carry a verdict; a *core.Error
+// with not-run is a promise of the target.
+type Sender interface {
+	Send(ctx context.Context, ta fleet.Target, re Request) (Answer, error)
+}
+
+// Caller serves requests. Set all fields; the zero Board works.
+type Caller struct {
+	Sender Sender
+	Clock  core.Clock
+	Logger log.Logger
+	Meters *meter.Set
+	Domain string
+	Draw   func(below int) int
+	Board  *Board
+}
+
+// outcome is what came of one attempt.
+type outcome struct {
+	target fleet.Target
+	answer Answer
+	err    *core.Error
+	took   time.Duration
+}
+
+// attempts is the state of one request.
+type attempts struct {
+	ca      *Caller
+	re      Request
+	service string
+	tried   []string
+	results chan outcome
+	open    int
+	sent    int
+	refused int
+	verdict core.Verdict
+	last    *core.Error
+}
+
+// Do serves a request. Its errors carry a verdict and, where the request did
+// not run, the time to come back.
+func (ca *Caller) Do(ctx context.Context, re Request) (Answer, *core.Error) {
+	started := ca.Clock.Now()
+	ctx, cancel := context.WithDeadline(ctx, re.Deadline)
+	defer cancel()
+	at := &attempts{ca: ca, re: re, service: re.Route.Pick(ca.Draw), results: make(chan outcome, ca.most(re)+MostRefusals)}
+	answer, err := at.run(ctx)
+	ca.record(at, answer, err, ca.Clock.Now().Sub(started))
+	return answer, err
+}
+
+func (*Caller) most(re Request) int { return max(re.Route.Attempts, 1) }
+
+func (ca *Caller) record(at *attempts, an Answer, err *core.Error, took time.Duration) {
+	ca.Meters.Observe("request", at.re.Route.Name, took)
+	if err == nil {
+		if at.sent > 1 || an.Status >= http.StatusInternalServerError {
+			level.Info(ca.Logger).Log("msg", "request answered after retries", "id", at.re.ID, "route", at.re.Route.Name, //nolint:errcheck
+				"status", an.Status, "sent", at.sent, "targets", len(at.tried), "took", took)
+		}
+		return
+	}
+	ca.Meters.Count("request-refused", string(err.Code), 1)
+	level.Warn(ca.Logger).Log("msg", "request not served", "id", at.re.ID, "route", at.re.Route.Name, "service", at.service, //nolint:errcheck
+		"sent", at.sent, "refused-by", at.refused, "left", at.re.Deadline.Sub(ca.Clock.Now()), "verdict", err.Verdict, "code", err.Code, "text", err.Text, "took", took)
+}
+
+func (at *attempts) run(ctx context.Context) (Answer, *core.Error) {
+	if !at.launch(ctx) {
+		return Answer{}, at.giveUp()
+	}
+	hedge := at.ca.Clock.After(at.hedgeAfter())
+	for {
+		select {
+		case ou := <-at.results:
+			at.open--
+			if at.sound(ou) {
+				return ou.answer, nil
+			}
+			if at.open == 0 && !at.launch(ctx) {
+				return Answer{}, at.giveUp()
+			}
+		case <-hedge:
+			hedge = nil
+			if at.re.Route.Kind == conf.Idempotent {
+				at.launch(ctx)
+			}
+		case <-ctx.Done():
+			return Answer{}, at.late()
+		}
+	}
+}
+
+func (at *attempts) hedgeAfter() time.Duration {
+	objective := at.re.Route.Objective
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	return time.Duration(HedgeShare * float64(objective))
+}
+
+// launch sends the request to one more target, if the rules permit one.
+func (at *attempts) launch(ctx context.Context) bool {
+	ca := at.ca
+	once := at.re.Route.Kind != conf.Idempotent && at.verdict != "" && at.verdict != core.NotRun // rule 5
+	if once || at.sent >= ca.most(at.re) || at.refused >= MostRefusals || ctx.Err() != nil {
+		return false
+	}
+	if at.re.Deadline.Sub(ca.Clock.Now()) < leastTime {
+		return false
+	}
+	ta, found := ca.Board.choose(ca.Clock.Now(), at.service, at.tried, ca.Domain, ca.Draw)
+	if !found {
+		return false
+	}
+	at.tried = append(at.tried, ta.ID)
+	at.sent++
+	at.open++
+	ca.Board.begin(ta.ID)
+	go func() {
+		began := ca.Clock.Now()
+		answer, err := ca.Sender.Send(ctx, ta, at.re)
+		ou := outcome{target: ta, answer: answer, err: core.AsError(err), took: ca.Clock.Now().Sub(began)}
+		ca.Board.end(ca.Clock.Now(), ta.ID, ou, ctx.Err() != nil)
+		at.results <- ou
+	}()
+	return true
+}
+
+// sound tells whether an outcome is an answer for the caller.
+func (at *attempts) sound(ou outcome) bool {
+	if ou.err == nil {
+		return true
+	}
+	at.last = ou.err
+	at.verdict = at.verdict.And(ou.err.Verdict)
+	if ou.err.Verdict == core.NotRun {
+		at.sent--
+		at.refused++
+	}
+	return false
+}
+
+// giveUp is the final answer when no target is left to ask.
+func (at *attempts) giveUp() *core.Error {
+	verdict := at.verdict
+	if verdict == "" || verdict == core.NotRun {
+		wait := at.ca.Board.comeBack(at.ca.Clock.Now(), at.service, at.ca.Draw)
+		return core.Refuse(core.CodeFull, "no target of %s takes the request", at.service).WithRetryAfter(wait)
+	}
+	if at.last != nil {
+		return at.last.WithVerdict(verdict)
+	}
+	return core.Doubt(core.CodeTargetLost, "no target of %s answered", at.service)
+}
+
+// late is the final answer when the time is over. What is still open may run.
+func (at *attempts) late() *core.Error {
+	if at.open == 0 && (at.verdict == "" || at.verdict == core.NotRun) {
+		return core.Refuse(core.CodeDeadline, "the time was over before a target took the request")
+	}
+	return core.Doubt(core.CodeDeadline, "no answer within the time that was left")
+}
--- a/core/error.go
+++ b/core/error.go
@@ -43,6 +43,7 @@
 	CodeUnsettled        Code = "unsettled"
 	CodePlatformDown     Code = "platform-down"
 	CodeUnknownStep      Code = "unknown-step"
+	CodeUnknownJob       Code = "unknown-job"
 	CodeRetryBudget      Code = "retry-budget"
 )
 
--- /dev/null
+++ b/intake/adopt.go
@@ -0,0 +1,113 @@
+package intake
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"bilberryshelf/batch"
+	"bilberryshelf/table"
+)
+
+const (
+	// ownWait is how long a job in this entry's name may not run here: a write of
+	// its own that took effect late.
+	ownWait = time.Second
+	// adoptTime bounds one adoption.
+	adoptTime = 4 * time.Second
+	// mostAge is the age after which no job is adopted; all its bounds are over.
+	mostAge = 2 * time.Minute
+)
+
+// adoptOrphans takes over jobs whose owner is gone.
+func (en *Entry) adoptOrphans(ctx context.Context) {
+	if en.settings.Weak || en.leaving.Load() || en.config.Load() == nil {
+		return
+	}
+	now := en.clock.Now()
+	for job, kn := range en.index.All() {
+		if !kn.Head.Open() || kn.Head.Age(now) > mostAge || en.owner.Owns(job) {
+			delete(en.orphans, job)
+			continue
+		}
+		since, waits := en.orphans[job]
+		if !waits {
+			since = now
+		}
+		wait, mine := en.turn(now, job, kn.Head.Owner)
+		if !mine {
+			delete(en.orphans, job)
+			continue
+		}
+		en.orphans[job] = since
+		if now.Sub(since) >= wait {
+			delete(en.orphans, job)
+			en.adopt(ctx, job, kn)
+		}
+	}
+}
+
+// turn is how long after it was found an orphan is adopted here; mine is false
+// for a job whose owner lives.
+func (en *Entry) turn(now time.Time, job, owner string) (wait time.Duration, mine bool) {
+	if owner == en.name {
+		return ownWait, true
+	}
+	en.mutex.Lock()
+	defer en.mutex.Unlock()
+	if !en.members.Dead(now, owner) {
+		return 0, false
+	}
+	return en.members.Turn(now, job, en.name)
+}
+
+func (en *Entry) adopt(ctx context.Context, job string, kn batch.Known) {
+	call, cancel := context.WithTimeout(ctx, adoptTime)
+	defer cancel()
+	former := kn.Head.Owner
+	kn, err := en.ledger.Adopt(call, job, kn, en.name)
+	if err != nil {
+		level.Info(en.logger).Log("msg", "job not adopted", "id", job, "owner", former, "err", err) //nolint:errcheck
+		if kn.Version > 0 {
+			en.index.Put(job, kn)
+		}
+		return
+	}
+	en.index.Put(job, kn)
+	body, listed, err := en.load(call, job, kn)
+	if err != nil {
+		level.Warn(en.logger).Log("msg", "adopted job not read", "id", job, "err", err) //nolint:errcheck
+		return                                                                          // it is tried again after ownWait
+	}
+	route, _, failed := en.Find(body.Host, body.Path)
+	if failed != nil {
+		level.Warn(en.logger).Log("msg", "adopted job has no route", "id", job, "err", failed) //nolint:errcheck
+		return
+	}
+	level.Info(en.logger).Log("msg", "job adopted", "id", job, "owner", former, "epoch", kn.Head.Epoch, "listed", len(listed)) //nolint:errcheck
+	en.owner.Start(body, kn, route, listed)
+}
+
+// load reads a job and which of its items are listed.
+func (en *Entry) load(ctx context.Context, job string, kn batch.Known) (*batch.Job, map[string]bool, error) {
+	body, err := en.ledger.Body(ctx, job)
+	if err != nil {
+		return nil, nil, err
+	}
+	listed := map[string]bool{}
+	for from := 0; from < kn.Head.Listed; {
+		results, err := en.ledger.Results(ctx, job, from)
+		if err != nil {
+			return nil, nil, err
+		}
+		if len(results) == 0 {
+			return nil, nil, table.ErrRefused
+		}
+		for _, re := range results {
+			listed[re.ID] = true
+		}
+		from += len(results)
+	}
+	return body, listed, nil
+}
--- /dev/null
+++ b/intake/jobs.go
@@ -0,0 +1,181 @@
+package intake
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+
+	"bilberryshelf/batch"
+	"bilberryshelf/conf"
+	"bilberryshelf/core"
+	"bilberryshelf/table"
+)
+
+const (
+	// storeAway is the time to come back when the store does not take calls.
+	storeAway = 500 * time.Millisecond
+	// certainFor is how old the feed of heads may be for an answer that nothing
+	// more is listed.
+	certainFor = 700 * time.Millisecond
+	// endTries bounds the tries to end a job beside its owner's writes.
+	endTries = 10
+	// answerBytes bounds the texts of one answer, below the 1 MB that clients take.
+	answerBytes = 900000
+)
+
+// Find selects the route of a request.
+func (en *Entry) Find(host, path string) (conf.Route, conf.Limits, *core.Error) {
+	co := en.config.Load()
+	if co == nil {
+		return conf.Route{}, conf.Limits{}, conf.Unready()
+	}
+	route, found := co.Find(host, path)
+	if !found {
+		return conf.Route{}, conf.Limits{}, core.Refuse(core.CodeUnknownService, "no route for %s%s in configuration %d", host, path, co.Version)
+	}
+	return route, co.Limits, nil
+}
+
+// Submit keeps a job and runs it.
+func (en *Entry) Submit(ctx context.Context, jo *batch.Job, route conf.Route) *core.Error {
+	if _, known := en.index.Get(jo.ID); known {
+		return nil
+	}
+	if en.leaving.Load() {
+		return core.Refuse(core.CodeDraining, "this entry is stopping").WithRetryAfter(lookEvery)
+	}
+	he := batch.Head{Epoch: 1, Owner: en.name, Total: len(jo.Items), Submitted: en.clock.Now().UnixMilli(), Due: route.Due}
+	if en.settings.Weak {
+		he.Owner = ""
+	}
+	kn, err := en.ledger.Accept(ctx, jo, he)
+	level.Info(en.logger).Log("msg", "job submitted", "id", jo.ID, "route", route.Name, "step", jo.Step, "items", len(jo.Items), //nolint:errcheck
+		"groups", jo.Groups, "version", kn.Version, "err", err)
+	switch {
+	case err == nil:
+		en.index.Put(jo.ID, kn)
+		if he.Owner != "" {
+			en.owner.Start(jo, kn, route, nil)
+		}
+		return nil
+	case errors.Is(err, batch.ErrLost) && kn.Version > 0:
+		en.index.Put(jo.ID, kn)
+		return nil // it was accepted before
+	case errors.Is(err, table.ErrRefused):
+		return core.Refuse(core.CodePlatformDown, "the job can't be kept: %v", err).WithRetryAfter(storeAway)
+	default:
+		return core.Doubt(core.CodeUnsettled, "it is not known whether the job was kept: %v", err)
+	}
+}
+
+// find returns a job's head, read from the store unless the feed has it.
+func (en *Entry) find(ctx context.Context, job string, fresh bool) (batch.Known, *core.Error) {
+	if kn, known := en.index.Get(job); known && !fresh {
+		return kn, nil
+	}
+	kn, err := en.ledger.Find(ctx, job)
+	if err != nil {
+		return kn, core.Refuse(core.CodePlatformDown, "the job can't be read: %v", err).WithRetryAfter(storeAway)
+	}
+	if kn.Version == 0 {
+		return kn, core.Refuse(core.CodeUnknownJob, "there is no job %s", job)
+	}
+	en.index.Put(job, kn)
+	return kn, nil
+}
+
+// Results lists results from a position on. It waits for one for the given
+// span, if there is none.
+func (en *Entry) Results(ctx context.Context, job string, from int, wait time.Duration) (batch.Listing, *core.Error) {
+	limit := en.clock.After(wait)
+	for {
+		changed := en.index.Changed()
+		kn, failed := en.find(ctx, job, false)
+		if failed != nil {
+			return batch.Listing{}, failed
+		}
+		if kn.Head.Listed > from {
+			return en.read(ctx, job, from, kn)
+		}
+		if from >= kn.Head.Total || kn.Head.Ended {
+			return en.certain(ctx, job, from)
+		}
+		select {
+		case <-changed:
+		case <-limit:
+			return en.certain(ctx, job, from)
+		case <-ctx.Done():
+			return batch.Listing{}, core.Refuse(core.CodeDeadline, "the client left")
+		}
+	}
+}
+
+// certain answers that nothing more is listed, only if that is known for now.
+func (en *Entry) certain(ctx context.Context, job string, from int) (batch.Listing, *core.Error) {
+	stale := en.clock.Now().Sub(en.index.Fresh()) > certainFor
+	kn, failed := en.find(ctx, job, stale)
+	if failed != nil {
+		return batch.Listing{}, failed
+	}
+	if kn.Head.Listed > from {
+		return en.read(ctx, job, from, kn)
+	}
+	return batch.Listing{Total: kn.Head.Total}, nil
+}
+
+func (en *Entry) read(ctx context.Context, job string, from int, kn batch.Known) (batch.Listing, *core.Error) {
+	results, err := en.ledger.Results(ctx, job, from)
+	if err != nil || len(results) == 0 {
+		return batch.Listing{}, core.Refuse(core.CodePlatformDown, "the results can't be read: %v", err).WithRetryAfter(storeAway)
+	}
+	size := 0
+	for at, re := range results {
+		if size += len(re.Text); size > answerBytes && at > 0 {
+			results = results[:at]
+			break
+		}
+	}
+	return batch.Listing{Total: kn.Head.Total, Results: results}, nil
+}
+
+// Body returns the body of an item.
+func (en *Entry) Body(ctx context.Context, job, item string) ([]byte, *core.Error) {
+	if _, failed := en.find(ctx, job, false); failed != nil {
+		return nil, failed
+	}
+	body, err := en.ledger.Body(ctx, job)
+	if err != nil {
+		return nil, core.Refuse(core.CodePlatformDown, "the job can't be read: %v", err).WithRetryAfter(storeAway)
+	}
+	for _, it := range body.Items {
+		if it.ID == item {
+			return it.Body, nil
+		}
+	}
+	return nil, core.Refuse(core.CodeUnknownJob, "job %s has no item %s", job, item)
+}
+
+// End ends a job. Ending it again changes nothing.
+func (en *Entry) End(ctx context.Context, job string) *core.Error {
+	for range endTries {
+		kn, failed := en.find(ctx, job, true)
+		if failed != nil {
+			return failed
+		}
+		if !kn.Head.Ended {
+			var err error
+			if kn, err = en.ledger.End(ctx, job, kn); errors.Is(err, batch.ErrLost) {
+				continue // its owner listed results meanwhile
+			} else if err != nil {
+				return core.Doubt(core.CodeUnsettled, "it is not known whether the job was ended: %v", err)
+			}
+			level.Info(en.logger).Log("msg", "job ended", "id", job, "listed", kn.Head.Listed, "total", kn.Head.Total, "version", kn.Version) //nolint:errcheck
+		}
+		en.index.Put(job, kn)
+		en.owner.End(job)
+		return nil
+	}
+	return core.Refuse(core.CodeConflict, "the job changes too often").WithRetryAfter(lookEvery)
+}
--- /dev/null
+++ b/intake/stop.go
@@ -0,0 +1,50 @@
+package intake
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"bilberryshelf/table"
+
+	"bilberryshelf/member"
+)
+
+const (
+	// releaseBefore is how long before the end of the grace the jobs that still
+	// run are handed over.
+	releaseBefore = 2500 * time.Millisecond
+	// stopBefore is how long before the end of the grace the entry ends.
+	stopBefore = 900 * time.Millisecond
+	// shortestStay is how long an entry serves on after a stop signal: two
+	// questions of the balancer and the requests under way.
+	shortestStay = 3500 * time.Millisecond
+	// stayPoll is the pause between looks whether all jobs have ended.
+	stayPoll = 100 * time.Millisecond
+)
+
+// Stop drains the entry: no new jobs, what runs goes on while there is time,
+// what is left is handed over. It returns when nothing is left to do.
+func (en *Entry) Stop() {
+	if !en.leaving.CompareAndSwap(false, true) {
+		return
+	}
+	level.Info(en.logger).Log("msg", "stopping", "grace", en.settings.Grace) //nolint:errcheck
+	started := en.clock.Now()
+	elapsed := func() time.Duration { return en.clock.Now().Sub(started) }
+	for elapsed() < en.settings.Grace-releaseBefore {
+		if elapsed() >= shortestStay && en.owner.Idle() {
+			break
+		}
+		<-en.clock.After(stayPoll)
+	}
+	call, cancel := context.WithTimeout(context.Background(), releaseBefore-stopBefore)
+	defer cancel()
+	en.owner.Release(call)
+	if _, err := en.store.Commit(call, table.Tx{Drops: []table.ID{member.ID(en.settings.Node)}}); err != nil {
+		level.Warn(en.logger).Log("msg", "row not dropped", "err", err) //nolint:errcheck
+	}
+	en.stop()
+	level.Info(en.logger).Log("msg", "stopped", "after", elapsed()) //nolint:errcheck
+}
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,143 @@
+// Package member tells which entries are alive, from rows that each entry
+// renews in the platform's store.
+//
+//  1. An entry's name is its node with a number that is new at each start, so
+//     an earlier start of the same node is another entry, and known to be dead.
+//  2. An entry lives while its row changed within Expiry, as seen here. Nobody
+//     else's clock is asked.
+//  3. While the rows are not fresh, nobody is found dead.
+//  4. An orphan is adopted by the live entry with the highest rendezvous weight;
+//     each further one waits AdoptStep longer, so that one that does not act is
+//     passed over.
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bilberryshelf/core"
+	"bilberryshelf/table"
+)
+
+const (
+	// Table holds a row for each node that runs an entry.
+	Table = "member"
+	// Renewal is the time between two renewals of a row.
+	Renewal = time.Second
+	// Expiry is three renewals: one may be lost and one may be late.
+	Expiry = 3 * time.Second
+	// staleAfter is how long ago the rows may have been confirmed: a watch and
+	// one retry.
+	staleAfter = 2500 * time.Millisecond
+	// AdoptStep is the head start of the better placed entry: a read, a write and
+	// a feed's turn.
+	AdoptStep = 700 * time.Millisecond
+)
+
+// Record is the row of an entry.
+type Record struct {
+	Name string `cbor:"1,keyasint"`
+	Addr string `cbor:"2,keyasint"`
+	Beat uint64 `cbor:"3,keyasint"`
+	// Weak entries take jobs but leave them to others.
+	Weak bool `cbor:"4,keyasint"`
+	// Leaving entries are about to stop.
+	Leaving bool   `cbor:"5,keyasint"`
+	Domain  string `cbor:"6,keyasint"`
+}
+
+// Encode turns a record into the value of a row.
+func (re Record) Encode() ([]byte, error) { return cbor.Marshal(re) }
+
+// ID is the row of a node.
+func ID(node string) table.ID { return table.ID{Table: Table, Key: node} }
+
+type seen struct {
+	record Record
+	at     time.Time
+}
+
+// View is what is known of the entries. It is not safe for concurrent use. The
+// zero value knows none.
+type View struct {
+	byNode map[string]seen
+	fresh  time.Time
+}
+
+// Put takes a row; a value that cannot be decoded is an error and is ignored.
+func (vi *View) Put(now time.Time, row table.Row) error {
+	if vi.byNode == nil {
+		vi.byNode = map[string]seen{}
+	}
+	if row.Dropped {
+		delete(vi.byNode, row.ID.Key)
+		return nil
+	}
+	var re Record
+	if err := cbor.Unmarshal(row.Value, &re); err != nil {
+		return err
+	}
+	if have, found := vi.byNode[row.ID.Key]; found && have.record == re {
+		return nil
+	}
+	vi.byNode[row.ID.Key] = seen{record: re, at: now}
+	return nil
+}
+
+// Confirm records that the rows were complete at a moment.
+func (vi *View) Confirm(now time.Time) { vi.fresh = now }
+
+// Live lists the entries that are alive, by name.
+func (vi *View) Live(now time.Time) []Record {
+	var live []Record
+	for _, se := range vi.byNode {
+		if now.Sub(se.at) <= Expiry || !vi.certain(now) {
+			live = append(live, se.record)
+		}
+	}
+	slices.SortFunc(live, func(lhs, rhs Record) int { return cmp.Compare(lhs.Name, rhs.Name) })
+	return live
+}
+
+func (vi *View) certain(now time.Time) bool { return now.Sub(vi.fresh) <= staleAfter }
+
+// Find returns the record of a live entry.
+func (vi *View) Find(now time.Time, name string) (Record, bool) {
+	for _, re := range vi.Live(now) {
+		if re.Name == name {
+			return re, true
+		}
+	}
+	return Record{}, false
+}
+
+// Dead tells whether an entry is known to be gone (rules 1 to 3).
+func (vi *View) Dead(now time.Time, name string) bool {
+	if name == "" {
+		return true
+	}
+	if !vi.certain(now) {
+		return false
+	}
+	_, alive := vi.Find(now, name)
+	return !alive
+}
+
+// Turn is how long after the owner's death an entry adopts a job (rule 4); ok
+// is false for one that adopts none.
+func (vi *View) Turn(now time.Time, job, name string) (wait time.Duration, ok bool) {
+	var ranked []Record
+	for _, re := range vi.Live(now) {
+		if !re.Leaving && !re.Weak {
+			ranked = append(ranked, re)
+		}
+	}
+	slices.SortFunc(ranked, func(lhs, rhs Record) int {
+		return cmp.Compare(core.Rendezvous(job, rhs.Name), core.Rendezvous(job, lhs.Name))
+	})
+	at := slices.IndexFunc(ranked, func(re Record) bool { return re.Name == name })
+	return time.Duration(at) * AdoptStep, at >= 0
+}
--- /dev/null
+++ b/order/guard.go
@@ -0,0 +1,273 @@
+package order
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"bilberryshelf/conf"
+	"bilberryshelf/core"
+	"bilberryshelf/fleet"
+	"bilberryshelf/meter"
+	"bilberryshelf/table"
+)
+
+// Port is the engine as its guard reaches it.
+type Port interface {
+	Report(ctx context.Context) (Report, error)
+	Order(ctx context.Context, or Order) (Reply, error)
+}
+
+// Table holds a row for each guard, under the address of its engine.
+const Table = "guard"
+
+// row is what a guard keeps in the store.
+type row struct {
+	Home string `cbor:"1,keyasint"`
+}
+
+// Guard orders one engine. Set the exported fields before Run.
+type Guard struct {
+	// Name is the holder of the orders, the machine.
+	Name string
+	// Addr is the engine's address, Service its service.
+	Addr    string
+	Service string
+	Port    Port
+	Store   table.Watcher
+	Clock   core.Clock
+	Logger  log.Logger
+	Meters  *meter.Set
+	// Config and Version read rows of the operator, Target rows of targets.
+	OperatorTable, TargetTable string
+	Config                     func(table.Row) (*conf.Config, error)
+	Version                    func(table.Row) (model string, version uint64, ok bool, err error)
+	Target                     func(table.Row) (fleet.Target, error)
+
+	mutex   sync.Mutex
+	config  *conf.Config
+	named   map[string]uint64
+	namedAt map[string]time.Time
+	targets map[string]fleet.Target
+	homes   map[string]string
+
+	fence   uint64
+	home    string
+	idle    time.Time
+	failing bool
+}
+
+const (
+	// watchful is the pause between reports while a version is to be loaded, and
+	// calm otherwise. Reports from the engine's own machine are free.
+	watchful = 100 * time.Millisecond
+	calm     = 300 * time.Millisecond
+	// reportTimeout bounds a report from the own machine.
+	reportTimeout = 500 * time.Millisecond
+	// orderTimeout bounds an order: the engine answers before it loads.
+	orderTimeout = 700 * time.Millisecond
+	// startPause is the pause between tries to get a fence.
+	startPause = 300 * time.Millisecond
+)
+
+// Run orders the engine until the context ends.
+func (gu *Guard) Run(ctx context.Context) {
+	gu.named, gu.namedAt = map[string]uint64{}, map[string]time.Time{}
+	gu.targets, gu.homes = map[string]fleet.Target{}, map[string]string{}
+	var group sync.WaitGroup
+	for _, fe := range gu.feeds() {
+		group.Go(func() { fe.Run(ctx) })
+	}
+	for pause := watchful; ctx.Err() == nil; {
+		select {
+		case <-ctx.Done():
+		case <-gu.Clock.After(pause):
+			pause = gu.step(ctx)
+		}
+	}
+	group.Wait()
+}
+
+func (gu *Guard) feeds() []*table.Feed {
+	feed := func(name string, reset, change func([]table.Row)) *table.Feed {
+		return &table.Feed{Store: gu.Store, Clock: gu.Clock, Logger: gu.Logger, Table: name, Reset: reset, Change: change}
+	}
+	return []*table.Feed{
+		feed(gu.OperatorTable, gu.operator, gu.operator),
+		feed(gu.TargetTable, func(rows []table.Row) {
+			gu.mutex.Lock()
+			clear(gu.targets)
+			gu.mutex.Unlock()
+			gu.registry(rows)
+		}, gu.registry),
+		feed(Table, gu.peers, gu.peers),
+	}
+}
+
+func (gu *Guard) operator(rows []table.Row) {
+	gu.mutex.Lock()
+	defer gu.mutex.Unlock()
+	for _, ro := range rows {
+		co, err := gu.Config(ro)
+		if err != nil {
+			level.Error(gu.Logger).Log("msg", "configuration not readable", "err", err) //nolint:errcheck
+			continue
+		}
+		gu.config = conf.Newer(gu.config, co)
+		model, version, ok, err := gu.Version(ro)
+		if err != nil {
+			level.Error(gu.Logger).Log("msg", "named version not readable", "err", err) //nolint:errcheck
+			continue
+		}
+		if ok && version > gu.named[model] {
+			gu.named[model], gu.namedAt[model] = version, gu.Clock.Now()
+			level.Info(gu.Logger).Log("msg", "version named", "model", model, "version", version, "row", ro.Version) //nolint:errcheck
+		}
+	}
+}
+
+func (gu *Guard) registry(rows []table.Row) {
+	gu.mutex.Lock()
+	defer gu.mutex.Unlock()
+	for _, ro := range rows {
+		delete(gu.targets, ro.ID.Key)
+		if ro.Dropped {
+			continue
+		}
+		if ta, err := gu.Target(ro); err == nil && ta.Service == gu.Service { // the entries log rows that cannot be read
+			gu.targets[ta.ID] = ta
+		}
+	}
+}
+
+func (gu *Guard) peers(rows []table.Row) {
+	gu.mutex.Lock()
+	defer gu.mutex.Unlock()
+	for _, ro := range rows {
+		var re row
+		if err := cbor.Unmarshal(ro.Value, &re); err != nil && !ro.Dropped {
+			level.Error(gu.Logger).Log("msg", "row of a guard not readable", "key", ro.ID.Key, "err", err) //nolint:errcheck
+			continue
+		}
+		gu.homes[ro.ID.Key] = re.Home
+	}
+}
+
+// step looks at the engine once, and returns the pause before the next look.
+func (gu *Guard) step(ctx context.Context) time.Duration {
+	if gu.fence == 0 && !gu.claim(ctx, "") {
+		return startPause
+	}
+	call, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	re, err := gu.Port.Report(call)
+	if err != nil {
+		gu.lost(err)
+		return calm
+	}
+	gu.regained(re)
+	si := gu.situation(re)
+	if home := Home(gu.models(), si.Engines, si.Self, gu.home); home != gu.home && home != "" {
+		if !gu.claim(ctx, home) {
+			return calm
+		}
+		si.Home = home
+	}
+	or, due := Next(si)
+	if !due {
+		if si.Named[si.Home] > re.Versions[si.Home] {
+			return watchful
+		}
+		return calm
+	}
+	gu.order(ctx, or, si)
+	return watchful
+}
+
+// claim writes the guard's row. The version of the first such write is the
+// fence of this start.
+func (gu *Guard) claim(ctx context.Context, home string) bool {
+	raw, err := cbor.Marshal(row{Home: home})
+	if err != nil {
+		level.Error(gu.Logger).Log("msg", "row not encoded", "err", err) //nolint:errcheck
+		return false
+	}
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	version, err := gu.Store.Commit(call, table.Tx{Puts: []table.Put{{ID: table.ID{Table: Table, Key: gu.Addr}, Value: raw}}})
+	if err != nil {
+		level.Warn(gu.Logger).Log("msg", "home not claimed", "home", home, "err", err) //nolint:errcheck
+		return false
+	}
+	if gu.fence == 0 {
+		gu.fence = version
+	}
+	gu.home = home
+	level.Info(gu.Logger).Log("msg", "home claimed", "home", home, "fence", gu.fence) //nolint:errcheck
+	return true
+}
+
+func (gu *Guard) models() []string {
+	gu.mutex.Lock()
+	defer gu.mutex.Unlock()
+	if gu.config == nil {
+		return nil
+	}
+	se, _ := gu.config.Service(gu.Service)
+	return se.Models
+}
+
+func (gu *Guard) situation(re Report) Situation {
+	gu.mutex.Lock()
+	defer gu.mutex.Unlock()
+	now := gu.Clock.Now()
+	si := Situation{Self: gu.Addr, Report: re, Home: gu.home, Named: map[string]uint64{}, NamedFor: map[string]time.Duration{}}
+	for model, version := range gu.named {
+		si.Named[model], si.NamedFor[model] = version, now.Sub(gu.namedAt[model])
+	}
+	for _, ta := range gu.targets {
+		home := gu.homes[ta.Addr]
+		if ta.Addr == gu.Addr {
+			home = gu.home
+			if si.Report.Instance == "" {
+				si.Report.Instance = ta.ID
+			}
+		}
+		si.Engines = append(si.Engines, Engine{ID: ta.Addr, Home: home})
+	}
+	if re.Running+re.Waiting > 0 {
+		gu.idle = now
+	}
+	si.IdleFor = now.Sub(gu.idle)
+	return si
+}
+
+func (gu *Guard) order(ctx context.Context, or Order, si Situation) {
+	or.Holder, or.Fence = gu.Name, gu.fence
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	reply, err := gu.Port.Order(call, or)
+	gu.Meters.Count("orders", string(reply), 1)
+	level.Info(gu.Logger).Log("msg", "order", "model", or.Model, "version", or.Version, "mode", or.Mode, "fence", or.Fence, //nolint:errcheck
+		"accepted", or.Accepted, "loaded", si.Report.Versions[or.Model], "running", si.Report.Running, "named-for", si.NamedFor[or.Model],
+		"reply", reply, "err", errors.UnwrapAll(err))
+}
+
+func (gu *Guard) lost(err error) {
+	if !gu.failing {
+		gu.failing = true
+		level.Warn(gu.Logger).Log("msg", "engine lost", "addr", gu.Addr, "err", err) //nolint:errcheck
+	}
+}
+
+func (gu *Guard) regained(re Report) {
+	if gu.failing {
+		gu.failing = false
+		level.Info(gu.Logger).Log("msg", "engine regained", "addr", gu.Addr, "born", re.Born, "accepted", re.Accepted) //nolint:errcheck
+	}
+}
--- /dev/null
+++ b/place/place.go
@@ -0,0 +1,210 @@
+// Package place chooses the engines on which the items of batch jobs run, and
+// the runs that should go on at another engine.
+//
+// The load pattern: a step of a few hundred items arrives at once, about twice
+// as many as the engines have slots. A tenth of the items is several times as
+// long as the others, and the trainer waits for nine tenths of the groups, so
+// the step lasts as long as its long items. An engine that turns slow or dark
+// in the middle holds whatever runs there.
+//
+//  1. Items of groups that the trainer is sure to wait for go first, then the
+//     longest by the trainer's estimate, then by group, so that items with the
+//     same prompt follow each other.
+//  2. An engine takes no more items than it has slots. One that is resting,
+//     leaving, or holds older weights than the item permits takes none.
+//  3. Among the engines with room the fastest class goes first: those within
+//     SlowFactor of the median pace. An engine outside of it takes items only
+//     if no other has room and the wait for one would be longer.
+//  4. Inside the class, an engine that read the same prompt goes first unless it
+//     is fuller than the emptiest by more than AffinitySlack slots; then the
+//     share of slots in use decides; then the failure domain of the owner.
+//  5. A run leaves its engine for one of the fastest class with room when its
+//     own engine is outside of the class, or when it has made no event for
+//     Stall. What it generated so far is kept.
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// SlowFactor is how many times the median pace an engine may take for an
+	// event before it counts as slow. Batches of different fill differ by less.
+	SlowFactor = 1.7
+	// AffinitySlack is by how many slots an engine may be fuller than the
+	// emptiest and still be chosen for a prompt that it has read. Reading one
+	// costs some ms, a full batch more.
+	AffinitySlack = 3
+	// Stall is how long a run may make no event: about ten events at the usual
+	// pace.
+	Stall = 400 * time.Millisecond
+	// FirstStall is the same before the first event, when a prompt is read and
+	// the engine may be loading weights.
+	FirstStall = 700 * time.Millisecond
+)
+
+// Engine is what the owner knows of an engine.
+type Engine struct {
+	ID      string
+	Domain  string
+	Slots   int
+	Running int
+	// Version is the version of the model's weights.
+	Version uint64
+	// Pace is the time for an event; zero if not known.
+	Pace time.Duration
+	// Resting engines refused or failed a moment ago.
+	Resting bool
+	// Groups counts the runs of each group that the engine has read the prompt
+	// of.
+	Groups map[string]int
+}
+
+func (en Engine) free() int { return en.Slots - en.Running }
+
+// Item is one item that waits for an engine.
+type Item struct {
+	// Index names the item to the caller.
+	Index int
+	Group string
+	// Sure marks groups that the trainer waits for whatever else is complete.
+	Sure bool
+	// Size is the estimated output in events, less what is generated.
+	Size int
+	// Oldest is the oldest permitted version.
+	Oldest uint64
+	// Avoid is the engine that the item left; empty for none.
+	Avoid string
+}
+
+// Order sorts waiting items, first to run first (rule 1).
+func Order(items []Item) {
+	slices.SortStableFunc(items, func(lhs, rhs Item) int {
+		if lhs.Sure != rhs.Sure {
+			if lhs.Sure {
+				return -1
+			}
+			return 1
+		}
+		if order := cmp.Compare(rhs.Size, lhs.Size); order != 0 {
+			return order
+		}
+		return cmp.Compare(lhs.Group, rhs.Group)
+	})
+}
+
+// Median is the median pace of the engines that have one.
+func Median(engines []Engine) time.Duration {
+	var paces []time.Duration
+	for _, en := range engines {
+		if en.Pace > 0 {
+			paces = append(paces, en.Pace)
+		}
+	}
+	if len(paces) == 0 {
+		return 0
+	}
+	slices.Sort(paces)
+	return paces[(len(paces)-1)/2]
+}
+
+// Slow tells whether an engine is outside of the fastest class.
+func Slow(en Engine, median time.Duration) bool {
+	return median > 0 && float64(en.Pace) > SlowFactor*float64(median)
+}
+
+// Choose returns the position of the engine for an item, or -1.
+func Choose(engines []Engine, it Item, domain string) int {
+	median := Median(engines)
+	least := emptiest(engines, it, median)
+	best := -1
+	for at, en := range engines {
+		if !fits(en, it) || Slow(en, median) || en.ID == it.Avoid {
+			continue
+		}
+		if best < 0 || before(en, engines[best], it, domain, least) {
+			best = at
+		}
+	}
+	if best < 0 {
+		return lastResort(engines, it, median)
+	}
+	return best
+}
+
+func fits(en Engine, it Item) bool {
+	return !en.Resting && en.free() > 0 && en.Version >= it.Oldest
+}
+
+// emptiest is the fewest runs of an engine that the item may go to.
+func emptiest(engines []Engine, it Item, median time.Duration) int {
+	least := -1
+	for _, en := range engines {
+		if fits(en, it) && !Slow(en, median) && (least < 0 || en.Running < least) {
+			least = en.Running
+		}
+	}
+	return least
+}
+
+// before orders two engines of the fastest class (rule 4).
+func before(lhs, rhs Engine, it Item, domain string, least int) bool {
+	near := func(en Engine) bool { return en.Groups[it.Group] > 0 && en.Running <= least+AffinitySlack }
+	if near(lhs) != near(rhs) {
+		return near(lhs)
+	}
+	if lhs.Running*rhs.Slots != rhs.Running*lhs.Slots {
+		return lhs.Running*rhs.Slots < rhs.Running*lhs.Slots
+	}
+	return lhs.Domain == domain && rhs.Domain != domain
+}
+
+// lastResort finds a slow engine, if every other one that could serve the item
+// is out of sight; a full one is waited for (rule 3).
+func lastResort(engines []Engine, it Item, median time.Duration) int {
+	best := -1
+	for at, en := range engines {
+		if en.Version < it.Oldest || en.Resting {
+			continue
+		}
+		if !Slow(en, median) && en.ID != it.Avoid {
+			return -1 // a good one is only full
+		}
+		if en.free() > 0 && (best < 0 || en.Pace < engines[best].Pace) {
+			best = at
+		}
+	}
+	return best
+}
+
+// Run is an item in progress.
+type Run struct {
+	Engine string
+	Oldest uint64
+	// Silent is how long ago the last event came, or the start.
+	Silent time.Duration
+	// Started tells whether an event has come.
+	Started bool
+}
+
+// Leave tells whether a run should go on at another engine (rule 5).
+func Leave(engines []Engine, ru Run) bool {
+	median := Median(engines)
+	at := slices.IndexFunc(engines, func(en Engine) bool { return en.ID == ru.Engine })
+	stall := FirstStall
+	if ru.Started {
+		stall = Stall
+	}
+	wants := ru.Silent > stall || (at >= 0 && Slow(engines[at], median))
+	if !wants {
+		return false
+	}
+	for _, en := range engines {
+		if en.ID != ru.Engine && fits(en, Item{Oldest: ru.Oldest}) && !Slow(en, median) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/runs/runs.go
@@ -0,0 +1,342 @@
+// Package runs owns batch jobs: it places their items on engines, gathers the
+// texts, has them scored and lists them.
+//
+// One goroutine (the loop) owns all state. Runs, scoring calls and writes to
+// the store happen on goroutines of their own and report to the loop.
+package runs
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"bilberryshelf/batch"
+	"bilberryshelf/conf"
+	"bilberryshelf/core"
+	"bilberryshelf/fleet"
+	"bilberryshelf/meter"
+	"bilberryshelf/place"
+)
+
+// Event is one event of a text.
+type Event struct {
+	Data string
+	// Version is the version of the weights that generated it.
+	Version uint64
+}
+
+// Send is a run of an item.
+type Send struct {
+	Job  *batch.Job
+	Item *batch.Item
+	// After is how many events are there already; the run goes on behind them.
+	After int
+}
+
+// Ending says how a run ended.
+type Ending string
+
+// The endings.
+const (
+	// Whole means that the text is complete.
+	Whole Ending = "whole"
+	// Refused means that the engine did not run the item: it is full or loading.
+	Refused Ending = "refused"
+	// Moved means that another target has the address.
+	Moved Ending = "moved"
+	// Failed means that the engine ran the item and answered with an error.
+	Failed Ending = "failed"
+	// Never means that no engine can run the item.
+	Never Ending = "never"
+	// Cut means that the text ended early or that no answer came.
+	Cut Ending = "cut"
+)
+
+// Outcome is what came of a run.
+type Outcome struct {
+	Ending Ending
+	// Text says why, for the log.
+	Text string
+}
+
+// Engine runs items. Its event function is called in the order of the events,
+// and never after Run has returned.
+type Engine interface {
+	Run(ctx context.Context, ta fleet.Target, se Send, event func(Event)) Outcome
+}
+
+// Scorer has a text scored. Failures counts the answers in which the scoring
+// call itself failed; an error with none of them may be tried again.
+type Scorer interface {
+	Score(ctx context.Context, sc batch.Scorer) (score string, failures int, err error)
+}
+
+// Config finds routes.
+type Config interface {
+	Find(host, path string) (conf.Route, bool)
+}
+
+// Owner runs the jobs that this entry owns. Set the exported fields, then call
+// Run.
+type Owner struct {
+	Name    string
+	Domain  string
+	Ledger  batch.Ledger
+	Index   *batch.Index
+	Engine  Engine
+	Scorer  Scorer
+	Current func() Config
+	Clock   core.Clock
+	Logger  log.Logger
+	Meters  *meter.Set
+	Loop    *core.Loop
+
+	ctx     context.Context
+	jobs    map[string]*job
+	engines map[string]*engine
+	placing bool
+	// memory keeps the partial texts of ended jobs by route, newest job last.
+	memory map[string]map[string]batch.Partial
+}
+
+const (
+	// tick is the pace of the checks that no event triggers.
+	tick = 50 * time.Millisecond
+	// gather is how long results are gathered before they are listed together.
+	gather = 40 * time.Millisecond
+	// storePause is the pause before a write is tried again.
+	storePause = 100 * time.Millisecond
+	// refusedRest is how long an engine that refused an item is left out.
+	refusedRest = 80 * time.Millisecond
+	// cutRest is how long an engine that cut a run is left out, doubled for each
+	// cut in a row up to cutRestMost.
+	cutRest     = 150 * time.Millisecond
+	cutRestMost = 3 * time.Second
+	// paceMemory is how long the pace of an engine without runs is remembered.
+	paceMemory = 3 * time.Second
+	// giveUpSlack is added to the time after which an item may be given up, since
+	// the clocks of two entries differ.
+	giveUpSlack = 3 * time.Second
+	// partialsWait bounds how long a job waits for the texts of an earlier one.
+	partialsWait = 400 * time.Millisecond
+)
+
+// Run serves the loop's state until the context ends.
+func (ow *Owner) Run(ctx context.Context) {
+	ow.Loop.Do(func() {
+		ow.ctx = ctx
+		ow.jobs, ow.engines = map[string]*job{}, map[string]*engine{}
+		ow.memory = map[string]map[string]batch.Partial{}
+	})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ow.Clock.After(tick):
+			ow.Loop.Do(ow.check)
+		}
+	}
+}
+
+// check does what no event triggers.
+func (ow *Owner) check() {
+	now := ow.Clock.Now()
+	ow.measure(now)
+	for _, jo := range ow.jobs {
+		ow.follow(jo)
+	}
+	for _, jo := range ow.jobs {
+		ow.expire(now, jo)
+		ow.list(now, jo)
+	}
+	ow.leave(now)
+	ow.place()
+}
+
+// follow compares a job with its head as the feed told it.
+func (ow *Owner) follow(jo *job) {
+	kn, found := ow.Index.Get(jo.body.ID)
+	if !found || kn.Version <= jo.known.Version || jo.writing {
+		return
+	}
+	switch {
+	case kn.Head.Epoch != jo.known.Head.Epoch:
+		ow.drop(jo, replaced)
+	case kn.Head.Ended:
+		ow.drop(jo, ended)
+	default:
+		jo.known = kn
+	}
+}
+
+// Owns tells whether a job runs here.
+func (ow *Owner) Owns(id string) bool {
+	owns := false
+	ow.Loop.Do(func() { owns = ow.jobs[id] != nil })
+	return owns
+}
+
+// Start takes a job over. Listed names the items whose results stand already.
+func (ow *Owner) Start(body *batch.Job, kn batch.Known, route conf.Route, listed map[string]bool) {
+	ow.Loop.Post(func() {
+		if ow.jobs[body.ID] != nil || !kn.Head.Open() {
+			return
+		}
+		jo := newJob(body, kn, route, listed)
+		ow.jobs[body.ID] = jo
+		level.Info(ow.Logger).Log("msg", "job started", "id", body.ID, "route", route.Name, "model", body.Model, "step", body.Step, //nolint:errcheck
+			"items", len(body.Items), "listed", len(listed), "oldest", body.Oldest, "epoch", kn.Head.Epoch, "age", kn.Head.Age(ow.Clock.Now()))
+		ow.recall(jo)
+	})
+}
+
+// recall looks for texts that an earlier job of the route left, then lets the
+// items run.
+func (ow *Owner) recall(jo *job) {
+	go func() {
+		call, cancel := context.WithTimeout(ow.ctx, partialsWait)
+		defer cancel()
+		stored, err := ow.Ledger.TakePartials(call, jo.route.Name)
+		if err != nil {
+			level.Warn(ow.Logger).Log("msg", "partial texts not read, items start anew", "id", jo.body.ID, "err", err) //nolint:errcheck
+		}
+		ow.Loop.Post(func() {
+			used := jo.reuse(stored) + jo.reuse(ow.memory[jo.route.Name])
+			delete(ow.memory, jo.route.Name)
+			jo.ready = true
+			if used > 0 {
+				level.Info(ow.Logger).Log("msg", "partial texts reused", "id", jo.body.ID, "items", used) //nolint:errcheck
+			}
+			for _, it := range jo.items {
+				if it.state == scoring {
+					ow.score(jo, it)
+				}
+			}
+			ow.place()
+		})
+	}()
+}
+
+// End stops the items of a job that was ended through this entry.
+func (ow *Owner) End(id string) {
+	ow.Loop.Post(func() {
+		if jo := ow.jobs[id]; jo != nil {
+			ow.drop(jo, ended)
+		}
+	})
+}
+
+// Idle tells whether no job runs here.
+func (ow *Owner) Idle() bool {
+	idle := true
+	ow.Loop.Do(func() { idle = len(ow.jobs) == 0 })
+	return idle
+}
+
+// Release hands all jobs to the other entries, with what was generated.
+func (ow *Owner) Release(ctx context.Context) {
+	var left []*job
+	ow.Loop.Do(func() {
+		for _, jo := range ow.jobs {
+			left = append(left, jo)
+			ow.drop(jo, released)
+		}
+	})
+	for _, jo := range left {
+		if err := ow.Ledger.SavePartials(ctx, jo.route.Name, jo.left); err != nil {
+			level.Warn(ow.Logger).Log("msg", "partial texts not saved", "id", jo.body.ID, "err", err) //nolint:errcheck
+		}
+		kn, _ := ow.Index.Get(jo.body.ID)
+		if kn.Version < jo.known.Version {
+			kn = jo.known
+		}
+		if _, err := ow.Ledger.Adopt(ctx, jo.body.ID, kn, ""); err != nil {
+			level.Warn(ow.Logger).Log("msg", "job not released", "id", jo.body.ID, "err", err) //nolint:errcheck
+		}
+	}
+}
+
+// The reasons for which an entry leaves a job.
+const (
+	ended    = "ended"
+	released = "released"
+	replaced = "another owner"
+	complete = "complete"
+)
+
+// drop forgets a job and ends its runs. What was generated is kept for a later
+// job.
+func (ow *Owner) drop(jo *job, why string) {
+	delete(ow.jobs, jo.body.ID)
+	jo.gone = true
+	var partials []batch.Partial
+	for _, it := range jo.items {
+		if it.run != nil {
+			it.keep(it.run.take(), jo.body.Oldest)
+			it.run.cancel()
+		}
+		if pa, some := it.partial(); some && (why == ended || why == released) && !jo.whole(it.item.Group) {
+			partials = append(partials, pa)
+		}
+	}
+	level.Info(ow.Logger).Log("msg", "job left", "id", jo.body.ID, "why", why, "listed", jo.known.Head.Listed, //nolint:errcheck
+		"total", jo.known.Head.Total, "partials", len(partials), "age", jo.known.Head.Age(ow.Clock.Now()))
+	jo.left = partials
+	if len(partials) == 0 || why == released {
+		return
+	}
+	kept := map[string]batch.Partial{}
+	for _, pa := range partials {
+		kept[pa.ID] = pa
+	}
+	ow.memory[jo.route.Name] = kept
+	go func() {
+		if err := ow.Ledger.SavePartials(ow.ctx, jo.route.Name, partials); err != nil {
+			level.Warn(ow.Logger).Log("msg", "partial texts not saved", "id", jo.body.ID, "err", err) //nolint:errcheck
+		}
+	}()
+	ow.place()
+}
+
+// expire gives up items whose time is over.
+func (ow *Owner) expire(now time.Time, jo *job) {
+	if jo.route.GiveUp <= 0 || jo.known.Head.Age(now) < jo.route.GiveUp+giveUpSlack {
+		return
+	}
+	for _, it := range jo.items {
+		if it.state == waiting || it.state == running {
+			ow.finish(jo, it, batch.Errored, "", "given up")
+		}
+	}
+}
+
+// finish decides on an item.
+func (ow *Owner) finish(jo *job, it *item, state batch.State, score, why string) {
+	if it.run != nil {
+		it.run.cancel()
+		it.run = nil
+	}
+	it.state = done
+	jo.results = append(jo.results, it.result(state, score))
+	if jo.since.IsZero() {
+		jo.since = ow.Clock.Now()
+	}
+	if state == batch.Errored {
+		level.Warn(ow.Logger).Log("msg", "item errored", "job", jo.body.ID, "id", it.item.ID, "why", why, //nolint:errcheck
+			"failures", it.failures, "events", len(it.events), "age", jo.known.Head.Age(ow.Clock.Now()))
+		ow.Meters.Count("items-errored", jo.route.Name, 1)
+	}
+}
+
+// engineViews are the engines of a service as the placing sees them.
+func (ow *Owner) engineViews(now time.Time, service, model string) []place.Engine {
+	var views []place.Engine
+	for _, en := range ow.engines {
+		if en.target.Service == service && !en.target.Draining {
+			views = append(views, en.view(now, model))
+		}
+	}
+	return views
+}
--- /dev/null
+++ b/runs/step.go
@@ -0,0 +1,250 @@
+package runs
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"bilberryshelf/batch"
+	"bilberryshelf/place"
+)
+
+// measure takes the pace of each engine from its runs.
+func (ow *Owner) measure(now time.Time) {
+	for _, en := range ow.engines {
+		var (
+			sum   time.Duration
+			count int
+		)
+		for ru := range en.runs {
+			last, pace, version := ru.progress()
+			if version > 0 {
+				model := ru.job.body.Model
+				en.versions[model] = max(en.versions[model], version)
+			}
+			if pace > 0 {
+				// A run that has been silent for longer than its pace is slowing down.
+				sum, count = sum+max(pace, now.Sub(last)), count+1
+			}
+		}
+		switch {
+		case count > 0:
+			en.pace, en.pacedAt = sum/time.Duration(count), now
+		case now.Sub(en.pacedAt) > paceMemory:
+			en.pace = 0
+		}
+	}
+}
+
+// place starts waiting items on engines with room. Calls within one turn of the
+// loop are joined.
+func (ow *Owner) place() {
+	if ow.placing {
+		return
+	}
+	ow.placing = true
+	ow.Loop.Post(func() {
+		ow.placing = false
+		now := ow.Clock.Now()
+		for _, jo := range ow.byDue() {
+			if jo.ready {
+				ow.placeJob(now, jo)
+			}
+		}
+	})
+}
+
+// byDue lists the jobs, the one that is due first at the front.
+func (ow *Owner) byDue() []*job {
+	jobs := make([]*job, 0, len(ow.jobs))
+	for _, jo := range ow.jobs {
+		jobs = append(jobs, jo)
+	}
+	slices.SortFunc(jobs, func(lhs, rhs *job) int {
+		return cmp.Compare(lhs.known.Head.Submitted+lhs.route.Due.Milliseconds(), rhs.known.Head.Submitted+rhs.route.Due.Milliseconds())
+	})
+	return jobs
+}
+
+func (ow *Owner) placeJob(now time.Time, jo *job) {
+	var queue []place.Item
+	for at, it := range jo.items {
+		if it.state != waiting || now.Before(it.after) {
+			continue
+		}
+		queue = append(queue, place.Item{
+			Index: at, Group: it.item.Group, Sure: it.carried, Size: max(it.item.Hint-len(it.events), 0),
+			Oldest: jo.body.Oldest, Avoid: it.avoid,
+		})
+	}
+	if len(queue) == 0 {
+		return
+	}
+	place.Order(queue)
+	views := ow.engineViews(now, jo.service, jo.body.Model)
+	for _, wi := range queue {
+		at := place.Choose(views, wi, ow.Domain)
+		if at < 0 {
+			continue
+		}
+		views[at].Running++
+		ow.begin(now, jo, jo.items[wi.Index], ow.engines[views[at].ID])
+	}
+}
+
+// begin starts a run.
+func (ow *Owner) begin(now time.Time, jo *job, it *item, en *engine) {
+	if jo.route.OneVersion {
+		it.restart()
+	}
+	ctx, cancel := context.WithCancel(ow.ctx)
+	ru := &run{engine: en, job: jo, item: it, cancel: cancel, began: now}
+	it.state, it.run = running, ru
+	en.running++
+	en.runs[ru] = true
+	en.groups[it.item.Group]++
+	se := Send{Job: jo.body, Item: it.item, After: len(it.events)}
+	go func() {
+		out := ow.Engine.Run(ctx, en.target, se, func(ev Event) { ru.add(ow.Clock.Now(), ev) })
+		cancel()
+		ow.Loop.Post(func() { ow.ended(ru, out) })
+	}()
+}
+
+// leave moves runs off engines that turned slow or silent.
+func (ow *Owner) leave(now time.Time) {
+	for _, jo := range ow.jobs {
+		views := ow.engineViews(now, jo.service, jo.body.Model)
+		for _, it := range jo.items {
+			ru := it.run
+			if ru == nil || ru.leaving {
+				continue
+			}
+			last, _, version := ru.progress()
+			silent := now.Sub(last)
+			if !place.Leave(views, place.Run{Engine: ru.engine.target.ID, Oldest: jo.body.Oldest, Silent: silent, Started: version > 0}) {
+				continue
+			}
+			ru.leaving = true
+			it.avoid = ru.engine.target.ID
+			ru.cancel()
+			for at := range views {
+				if views[at].ID == ru.engine.target.ID {
+					continue
+				}
+				if views[at].Running < views[at].Slots && !views[at].Resting {
+					views[at].Running++ // the place that the run will take
+					break
+				}
+			}
+			ow.Meters.Count("runs-moved", jo.route.Name, 1)
+			level.Info(ow.Logger).Log("msg", "run moved", "job", jo.body.ID, "id", it.item.ID, "engine", ru.engine.target.ID, //nolint:errcheck
+				"silent", silent, "pace", ru.engine.pace, "events", len(it.events))
+		}
+	}
+}
+
+// ended takes what came of a run.
+func (ow *Owner) ended(ru *run, out Outcome) {
+	en, it, jo := ru.engine, ru.item, ru.job
+	now := ow.Clock.Now()
+	events := ru.take()
+	en.running--
+	delete(en.runs, ru)
+	if en.groups[it.item.Group]--; en.groups[it.item.Group] <= 0 {
+		delete(en.groups, it.item.Group)
+	}
+	ow.judge(now, en, ru, out, len(events))
+	if jo.gone || it.run != ru {
+		ow.place()
+		return
+	}
+	it.run = nil
+	before := len(it.events)
+	it.keep(events, jo.body.Oldest)
+	it.state = waiting
+	switch {
+	case out.Ending == Whole && len(it.events) == before+len(events) && len(it.events) > 0:
+		it.whole = true
+		ow.complete(jo, it)
+	case out.Ending == Failed:
+		it.failures++
+		if it.failures >= max(jo.route.Attempts, 1) {
+			ow.finish(jo, it, batch.Errored, "", out.Text)
+		}
+	case out.Ending == Never:
+		ow.finish(jo, it, batch.Errored, "", out.Text)
+	case out.Ending == Whole:
+		en.versions[jo.body.Model] = 0
+		it.after = now.Add(refusedRest)
+	}
+	ow.place()
+}
+
+// judge counts for or against the engine.
+func (ow *Owner) judge(now time.Time, en *engine, ru *run, out Outcome, events int) {
+	switch {
+	case ru.leaving || ru.job.gone:
+		return
+	case out.Ending == Whole:
+		en.cuts = 0
+		return
+	case out.Ending == Refused:
+		en.until = now.Add(refusedRest)
+	case out.Ending == Moved || (out.Ending == Cut && events == 0):
+		en.rest(now)
+	}
+	ow.Meters.Count("runs-failed", string(out.Ending), 1)
+	level.Info(ow.Logger).Log("msg", "run ended early", "job", ru.job.body.ID, "id", ru.item.item.ID, "engine", en.target.ID, //nolint:errcheck
+		"ending", out.Ending, "events", events, "text", out.Text, "took", now.Sub(ru.began))
+}
+
+// complete has a whole text scored, or lists it.
+func (ow *Owner) complete(jo *job, it *item) {
+	if !it.fits(jo.route, it.versions) {
+		it.restart()
+		it.state = waiting
+		return
+	}
+	it.state = scoring
+	ow.score(jo, it)
+}
+
+// score calls the scorer until it answers, or has failed too often.
+func (ow *Owner) score(jo *job, it *item) {
+	if it.item.Scorer == nil {
+		ow.finish(jo, it, batch.Completed, "", "")
+		return
+	}
+	go func() {
+		score, failures, err := ow.Scorer.Score(ow.ctx, *it.item.Scorer)
+		ow.Loop.Post(func() { ow.scored(jo, it, score, failures, err) })
+	}()
+}
+
+func (ow *Owner) scored(jo *job, it *item, score string, failures int, err error) {
+	if jo.gone || it.state != scoring {
+		return
+	}
+	if err == nil {
+		ow.finish(jo, it, batch.Completed, score, "")
+		return
+	}
+	it.failures += failures
+	if failures > 0 {
+		ow.finish(jo, it, batch.Errored, "", err.Error())
+		return
+	}
+	level.Info(ow.Logger).Log("msg", "score not given, trying again", "job", jo.body.ID, "id", it.item.ID, "err", err) //nolint:errcheck
+	go func() {
+		<-ow.Clock.After(storePause)
+		ow.Loop.Post(func() {
+			if !jo.gone && it.state == scoring {
+				ow.score(jo, it)
+			}
+		})
+	}()
+}
--- /dev/null
+++ b/setup/hosted.go
@@ -0,0 +1,79 @@
+package setup
+
+// Hosted is the settings of a process on the platform: an entry, or the guard of
+// an engine. Its template is filled in by the platform.
+type Hosted struct {
+	Name    string     `toml:"name"`
+	Place   Place      `toml:"place"`
+	Listen  NodeListen `toml:"listen"`
+	Store   NodeStore  `toml:"store"`
+	Machine Machine    `toml:"machine"`
+	Engine  NodeEngine `toml:"engine"`
+	Timing  NodeTiming `toml:"timing"`
+}
+
+// NodeListen is the addresses that a process serves. A guard serves only
+// metrics.
+type NodeListen struct {
+	Callers   string `toml:"callers"`
+	Readiness string `toml:"readiness"`
+	Inner     string `toml:"inner"`
+	Metrics   string `toml:"metrics"`
+}
+
+// NodeStore says where the platform's metadata store is.
+type NodeStore struct {
+	Address string `toml:"address"`
+}
+
+// Machine is what the process may use.
+type Machine struct {
+	Memory Size    `toml:"memory"`
+	Cores  float64 `toml:"cores"`
+}
+
+// NodeEngine is the engine beside a guard.
+type NodeEngine struct {
+	Address string `toml:"address"`
+	Service string `toml:"service"`
+}
+
+// NodeTiming is the spans that a process works by.
+type NodeTiming struct {
+	// Grace is the time between a stop signal and the end of the process.
+	Grace Duration `toml:"grace"`
+}
+
+// ReadNodeEntry reads and checks the settings of an entry on the platform.
+func ReadNodeEntry(file string) (Hosted, error) {
+	return readNode(file, func(no Hosted, ch *checker) {
+		ch.address(no.Listen.Callers, "listen.callers")
+		ch.address(no.Listen.Readiness, "listen.readiness")
+		ch.address(no.Listen.Inner, "listen.inner")
+	})
+}
+
+// ReadNodeGuard reads and checks the settings of a guard on the platform.
+func ReadNodeGuard(file string) (Hosted, error) {
+	return readNode(file, func(no Hosted, ch *checker) {
+		ch.address(no.Engine.Address, "engine.address")
+		ch.need(no.Engine.Service != "", "engine.service", "is missing; the service that the engine belongs to")
+	})
+}
+
+func readNode(file string, check func(Hosted, *checker)) (Hosted, error) {
+	var no Hosted
+	ch, err := read(file, &no)
+	if err != nil {
+		return no, err
+	}
+	ch.need(no.Name != "", "name", "is missing")
+	no.Place.check(ch)
+	ch.address(no.Listen.Metrics, "listen.metrics")
+	ch.address(no.Store.Address, "store.address")
+	ch.need(no.Machine.Memory > 0, "machine.memory", "must be more than 0B")
+	ch.need(no.Machine.Cores > 0, "machine.cores", "must be more than 0")
+	ch.need(no.Timing.Grace > 0, "timing.grace", "must be more than 0s")
+	check(no, ch)
+	return no, ch.result()
+}
--- /dev/null
+++ b/subcmd/node.go
@@ -0,0 +1,71 @@
+package subcmd
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"bilberryshelf/boot"
+	"bilberryshelf/logs"
+	"bilberryshelf/setup"
+)
+
+// nodeFlags are common to the daemons on the platform.
+type nodeFlags struct {
+	Settings string `long:"settings" required:"yes" env:"BILBERRYSHELF_SETTINGS" description:"the settings file"`
+	LogLevel string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"the least level that is logged"`
+}
+
+// run reads the settings, builds the daemon and serves until a stop signal. A
+// changed settings file is read and checked; addresses are in force from the
+// next start.
+func (no nodeFlags) run(read func(string) (setup.Hosted, error), build func(setup.Hosted, log.Logger) (boot.Daemon, error)) error {
+	wr := logs.New(os.Stdout)
+	defer wr.Close()
+	lg := log.With(log.NewLogfmtLogger(wr), "at", log.DefaultTimestampUTC)
+	lg = level.NewFilter(lg, level.Allow(level.ParseDefault(no.LogLevel, level.InfoValue())))
+	se, err := read(no.Settings)
+	if err != nil {
+		level.Error(lg).Log("msg", "settings refused", "file", no.Settings, "err", err) //nolint:errcheck
+		return exit(ExitUsage, err)
+	}
+	lg = log.With(lg, "node", se.Name)
+	level.Info(lg).Log("msg", "starting", "domain", se.Place.FailureDomain, "memory", int64(se.Machine.Memory), "cores", se.Machine.Cores) //nolint:errcheck
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	go func() {
+		for range hups {
+			changed, err := read(no.Settings)
+			level.Info(lg).Log("msg", "settings read again", "changed", changed != se, "err", err) //nolint:errcheck
+		}
+	}()
+	da, err := build(se, lg)
+	if err != nil {
+		level.Error(lg).Log("msg", "not started", "err", err) //nolint:errcheck
+		return err
+	}
+	err = group(da)
+	level.Info(lg).Log("msg", "ended", "err", err) //nolint:errcheck
+	return err
+}
+
+type nodeEntryCommand struct {
+	nodeFlags
+}
+
+// Execute runs an entry on the platform.
+func (co *nodeEntryCommand) Execute([]string) error {
+	return co.run(setup.ReadNodeEntry, boot.NodeEntry)
+}
+
+type nodeGuardCommand struct {
+	nodeFlags
+}
+
+// Execute runs a guard on the platform.
+func (co *nodeGuardCommand) Execute([]string) error {
+	return co.run(setup.ReadNodeGuard, boot.NodeGuard)
+}
--- a/subcmd/subcmd.go
+++ b/subcmd/subcmd.go
@@ -61,6 +61,18 @@
 		example: "bilberryshelf guard --settings guard.toml",
 		data:    func(io.Writer) any { return &guardCommand{} },
 	},
+	{
+		name: "node-entry", title: "run an entry on the platform",
+		text:    "Runs an entry that takes its configuration, targets and jobs from the platform's metadata store. SIGTERM drains it, SIGHUP checks the settings anew. Exit codes: 0 after a drain, 1 if it failed, 2 for wrong settings.",
+		example: "bilberryshelf node-entry --settings node.toml",
+		data:    func(io.Writer) any { return &nodeEntryCommand{} },
+	},
+	{
+		name: "node-guard", title: "run the guard of an engine on the platform",
+		text:    "Runs the guard beside one engine, which brings it to the versions of weights that trainers name. Exit codes: 0 after a stop, 1 if it failed, 2 for wrong settings.",
+		example: "bilberryshelf node-guard --settings node.toml",
+		data:    func(io.Writer) any { return &nodeGuardCommand{} },
+	},
 	{
 		name: "apply", title: "apply a sheet",
 		text:    "Checks a sheet whole and gets it accepted. With --dry-run prints the difference. Exit codes: 0 accepted or unchanged, 3 refused with every fault by row and column, 4 not known whether accepted (run settle).",
--- /dev/null
+++ b/via/peer.go
@@ -0,0 +1,126 @@
+package via
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"bilberryshelf/table"
+	"bilberryshelf/wire"
+	"bilberryshelf/wire/wireconnect"
+)
+
+// Client calls the tables through a peer.
+type Client struct {
+	client wireconnect.TableServiceClient
+}
+
+// NewClient points at a peer's inner address.
+func NewClient(doer *http.Client, addr string) *Client {
+	return &Client{client: wireconnect.NewTableServiceClient(doer, "http://"+addr)}
+}
+
+// Commit writes a transaction.
+func (cl *Client) Commit(ctx context.Context, tx table.Tx) (uint64, error) {
+	req := &wire.CommitRequest{}
+	for _, ex := range tx.Expect {
+		req.Expect = append(req.Expect, &wire.TableRow{Id: toWire(ex.ID), Version: ex.Version})
+	}
+	for _, pu := range tx.Puts {
+		req.Puts = append(req.Puts, &wire.TableRow{Id: toWire(pu.ID), Value: pu.Value})
+	}
+	for _, id := range tx.Drops {
+		req.Drops = append(req.Drops, toWire(id))
+	}
+	res, err := cl.client.Commit(ctx, req)
+	if err != nil {
+		return 0, fromCode(err)
+	}
+	return res.GetVersion(), nil
+}
+
+// List reads rows.
+func (cl *Client) List(ctx context.Context, ra table.Range) (table.Page, error) {
+	res, err := cl.client.List(ctx, &wire.ListRequest{
+		Table: ra.Table, Part: ra.Part, From: ra.From, To: ra.To, Limit: int32(ra.Limit),
+	})
+	if err != nil {
+		return table.Page{}, fromCode(err)
+	}
+	page := table.Page{More: res.GetMore(), Version: res.GetVersion()}
+	for _, ro := range res.GetRows() {
+		page.Rows = append(page.Rows, table.Row{ID: fromWire(ro.GetId()), Value: ro.GetValue(), Version: ro.GetVersion()})
+	}
+	return page, nil
+}
+
+// Service passes the calls of peers on to the store, always directly (rule 5).
+type Service struct {
+	Direct table.Caller
+}
+
+// Commit writes a peer's transaction.
+func (se Service) Commit(ctx context.Context, req *wire.CommitRequest) (*wire.CommitResponse, error) {
+	var tx table.Tx
+	for _, ex := range req.GetExpect() {
+		tx.Expect = append(tx.Expect, table.Expect{ID: fromWire(ex.GetId()), Version: ex.GetVersion()})
+	}
+	for _, pu := range req.GetPuts() {
+		tx.Puts = append(tx.Puts, table.Put{ID: fromWire(pu.GetId()), Value: pu.GetValue()})
+	}
+	for _, id := range req.GetDrops() {
+		tx.Drops = append(tx.Drops, fromWire(id))
+	}
+	version, err := se.Direct.Commit(ctx, tx)
+	if err != nil {
+		return nil, toCode(err)
+	}
+	return &wire.CommitResponse{Version: version}, nil
+}
+
+// List reads rows for a peer.
+func (se Service) List(ctx context.Context, req *wire.ListRequest) (*wire.PageResponse, error) {
+	page, err := se.Direct.List(ctx, table.Range{
+		Table: req.GetTable(), Part: req.GetPart(), From: req.GetFrom(), To: req.GetTo(), Limit: int(req.GetLimit()),
+	})
+	if err != nil {
+		return nil, toCode(err)
+	}
+	res := &wire.PageResponse{More: page.More, Version: page.Version}
+	for _, ro := range page.Rows {
+		res.Rows = append(res.Rows, &wire.TableRow{Id: toWire(ro.ID), Value: ro.Value, Version: ro.Version})
+	}
+	return res, nil
+}
+
+func toWire(id table.ID) *wire.RowID { return &wire.RowID{Table: id.Table, Part: id.Part, Key: id.Key} }
+
+func fromWire(id *wire.RowID) table.ID {
+	return table.ID{Table: id.GetTable(), Part: id.GetPart(), Key: id.GetKey()}
+}
+
+// toCode and fromCode carry the outcomes that callers decide on. Everything
+// else leaves the outcome open.
+func toCode(err error) error {
+	switch {
+	case errors.Is(err, table.ErrConflict):
+		return connect.NewError(connect.CodeFailedPrecondition, err)
+	case errors.Is(err, table.ErrRefused):
+		return connect.NewError(connect.CodeResourceExhausted, err)
+	default:
+		return connect.NewError(connect.CodeUnknown, err)
+	}
+}
+
+func fromCode(err error) error {
+	switch connect.CodeOf(err) {
+	case connect.CodeFailedPrecondition:
+		return errors.Mark(err, table.ErrConflict)
+	case connect.CodeResourceExhausted:
+		return errors.Mark(err, table.ErrRefused)
+	default:
+		return errors.Wrap(err, "call through a peer")
+	}
+}
--- a/wire/wireconnect/wire.connect.go
+++ b/wire/wireconnect/wire.connect.go
@@ -26,6 +26,8 @@
 	GuardServiceName = "bilberryshelf.wire.GuardService"
 	// PeerServiceName is the fully-qualified name of the PeerService service.
 	PeerServiceName = "bilberryshelf.wire.PeerService"
+	// TableServiceName is the fully-qualified name of the TableService service.
+	TableServiceName = "bilberryshelf.wire.TableService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -46,6 +48,10 @@
 	PeerServiceBookProcedure = "/bilberryshelf.wire.PeerService/Book"
 	// PeerServiceRelayProcedure is the fully-qualified name of the PeerService's Relay RPC.
 	PeerServiceRelayProcedure = "/bilberryshelf.wire.PeerService/Relay"
+	// TableServiceCommitProcedure is the fully-qualified name of the TableService's Commit RPC.
+	TableServiceCommitProcedure = "/bilberryshelf.wire.TableService/Commit"
+	// TableServiceListProcedure is the fully-qualified name of the TableService's List RPC.
+	TableServiceListProcedure = "/bilberryshelf.wire.TableService/List"
 )
 
 // GuardServiceClient is a client for the bilberryshelf.wire.GuardService service.
@@ -297,3 +303,107 @@
 func (UnimplementedPeerServiceHandler) Relay(context.Context, *wire.RelayRequest) (*wire.RelayResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bilberryshelf.wire.PeerService.Relay is not implemented"))
 }
+
+// TableServiceClient is a client for the bilberryshelf.wire.TableService service.
+type TableServiceClient interface {
+	Commit(context.Context, *wire.CommitRequest) (*wire.CommitResponse, error)
+	List(context.Context, *wire.ListRequest) (*wire.PageResponse, error)
+}
+
+// NewTableServiceClient constructs a client for the bilberryshelf.wire.TableService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewTableServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) TableServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	tableServiceMethods := wire.File_wire_wire_proto.Services().ByName("TableService").Methods()
+	return &tableServiceClient{
+		commit: connect.NewClient[wire.CommitRequest, wire.CommitResponse](
+			httpClient,
+			baseURL+TableServiceCommitProcedure,
+			connect.WithSchema(tableServiceMethods.ByName("Commit")),
+			connect.WithClientOptions(opts...),
+		),
+		list: connect.NewClient[wire.ListRequest, wire.PageResponse](
+			httpClient,
+			baseURL+TableServiceListProcedure,
+			connect.WithSchema(tableServiceMethods.ByName("List")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// tableServiceClient implements TableServiceClient.
+type tableServiceClient struct {
+	commit *connect.Client[wire.CommitRequest, wire.CommitResponse]
+	list   *connect.Client[wire.ListRequest, wire.PageResponse]
+}
+
+// Commit calls bilberryshelf.wire.TableService.Commit.
+func (c *tableServiceClient) Commit(ctx context.Context, req *wire.CommitRequest) (*wire.CommitResponse, error) {
+	response, err := c.commit.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// List calls bilberryshelf.wire.TableService.List.
+func (c *tableServiceClient) List(ctx context.Context, req *wire.ListRequest) (*wire.PageResponse, error) {
+	response, err := c.list.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// TableServiceHandler is an implementation of the bilberryshelf.wire.TableService service.
+type TableServiceHandler interface {
+	Commit(context.Context, *wire.CommitRequest) (*wire.CommitResponse, error)
+	List(context.Context, *wire.ListRequest) (*wire.PageResponse, error)
+}
+
+// NewTableServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewTableServiceHandler(svc TableServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	tableServiceMethods := wire.File_wire_wire_proto.Services().ByName("TableService").Methods()
+	tableServiceCommitHandler := connect.NewUnaryHandlerSimple(
+		TableServiceCommitProcedure,
+		svc.Commit,
+		connect.WithSchema(tableServiceMethods.ByName("Commit")),
+		connect.WithHandlerOptions(opts...),
+	)
+	tableServiceListHandler := connect.NewUnaryHandlerSimple(
+		TableServiceListProcedure,
+		svc.List,
+		connect.WithSchema(tableServiceMethods.ByName("List")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/bilberryshelf.wire.TableService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case TableServiceCommitProcedure:
+			tableServiceCommitHandler.ServeHTTP(w, r)
+		case TableServiceListProcedure:
+			tableServiceListHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedTableServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedTableServiceHandler struct{}
+
+func (UnimplementedTableServiceHandler) Commit(context.Context, *wire.CommitRequest) (*wire.CommitResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bilberryshelf.wire.TableService.Commit is not implemented"))
+}
+
+func (UnimplementedTableServiceHandler) List(context.Context, *wire.ListRequest) (*wire.PageResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bilberryshelf.wire.TableService.List is not implemented"))
+}
