--- a/boot/boot.go
+++ b/boot/boot.go
@@ -47,7 +47,7 @@
 		return Daemon{}, err
 	}
 	se.InnerListen = inner.Addr() // what the entry tells its peers
-	tables, objects, list := platform(se.Platform)
+	tables, objects, list := services(se.Platform)
 	en := entry.New(se, core.SystemClock{}, lg, me, entry.Platform{Tables: tables, Objects: objects, List: list})
 	outer.Handler, inner.Handler = en.Handler(), en.InnerHandler()
 	return Daemon{Part: en, Servers: []*server.Server{outer, inner}}, nil
@@ -55,7 +55,7 @@
 
 // Guard builds a guard.
 func Guard(se setup.Guard, lg log.Logger) (Daemon, error) {
-	tables, objects, _ := platform(se.Platform)
+	tables, objects, _ := services(se.Platform)
 	me := &meter.Set{}
 	gu := guard.New(se, core.SystemClock{}, lg, me, tables, objects)
 	inner := &server.Server{Traffic: me.Traffic("inner"), Handler: guardHandler(gu, se, me), Plain2: true}
@@ -82,7 +82,7 @@
 	return mux
 }
 
-func platform(pl setup.Platform) (*store.Table, *store.Objects, *store.List) {
+func services(pl setup.Platform) (*store.Table, *store.Objects, *store.List) {
 	access := func(url string) store.Access {
 		return store.Access{URL: url, KeyID: pl.KeyID, Secret: secret(pl), Timeout: pl.Timeout.Std()}
 	}
