order, place: loads are paced by slots in the store; owners empty engines for loads

Cause: loads share the weight store's bandwidth (0.46 s a load: 0.92 s for two together, 4.5 s for ten), and a load beside runs stalls them about a second.

--- a/boot/node.go
+++ b/boot/node.go
@@ -45,7 +45,7 @@
 		Dial: func(addr string) table.Caller { return via.NewClient(inner, addr) },
 	}, intake.Decoders{
 		OperatorTable: platform.OperatorTable, TargetTable: platform.TargetTable,
-		Config: platform.DecodeConfig, Target: platform.DecodeTarget,
+		Config: platform.DecodeConfig, Target: platform.DecodeTarget, Version: platform.DecodeVersion,
 	}, core.SystemClock{}, lg, me)
 	front := &platform.Front{Service: en, Logger: lg}
 	mux := http.NewServeMux()
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -32,6 +32,7 @@
 	OperatorTable, TargetTable string
 	Config                     func(table.Row) (*conf.Config, error)
 	Target                     func(table.Row) (fleet.Target, error)
+	Version                    func(table.Row) (model string, version uint64, ok bool, err error)
 }
 
 // Settings is what an entry is told at its start.
@@ -156,6 +157,11 @@
 // operator takes rows of the operator. Only a higher version is adopted.
 func (en *Entry) operator(rows []table.Row) {
 	for _, ro := range rows {
+		if model, version, ok, err := en.decoders.Version(ro); err != nil {
+			level.Error(en.logger).Log("msg", "named version not readable", "row", ro.Version, "err", err) //nolint:errcheck
+		} else if ok {
+			en.owner.Named(model, version)
+		}
 		co, err := en.decoders.Config(ro)
 		if err != nil {
 			level.Error(en.logger).Log("msg", "configuration not readable", "row", ro.Version, "err", err) //nolint:errcheck
--- a/order/guard.go
+++ b/order/guard.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,12 +25,15 @@
 	Order(ctx context.Context, or Order) (Reply, error)
 }
 
-// Table holds a row for each guard, under the address of its engine.
+// Table holds a row for each guard, under the address of its engine, and a row
+// for each slot.
 const Table = "guard"
 
 // row is what a guard keeps in the store.
 type row struct {
 	Home string `cbor:"1,keyasint"`
+	// Holder is the guard that holds a slot; empty for a free one.
+	Holder string `cbor:"2,keyasint,omitempty"`
 }
 
 // Guard orders one engine. Set the exported fields before Run.
@@ -52,14 +57,20 @@
 	mutex   sync.Mutex
 	config  *conf.Config
 	named   map[string]uint64
-	namedAt map[string]time.Time
 	targets map[string]fleet.Target
 	homes   map[string]string
+	slots   map[string]slot
 
-	fence   uint64
+	fence uint64
+	// ordered is when the last order went out, loaded the version last seen.
+	ordered time.Time
+	loaded  uint64
 	home    string
 	idle    time.Time
 	failing bool
+	held    held
+	// barred is when the store first failed to give a slot.
+	barred time.Time
 }
 
 const (
@@ -77,8 +88,8 @@
 
 // Run orders the engine until the context ends.
 func (gu *Guard) Run(ctx context.Context) {
-	gu.named, gu.namedAt = map[string]uint64{}, map[string]time.Time{}
-	gu.targets, gu.homes = map[string]fleet.Target{}, map[string]string{}
+	gu.named, gu.targets = map[string]uint64{}, map[string]fleet.Target{}
+	gu.homes, gu.slots = map[string]string{}, map[string]slot{}
 	var group sync.WaitGroup
 	for _, fe := range gu.feeds() {
 		group.Go(func() { fe.Run(ctx) })
@@ -125,7 +136,7 @@
 			continue
 		}
 		if ok && version > gu.named[model] {
-			gu.named[model], gu.namedAt[model] = version, gu.Clock.Now()
+			gu.named[model] = version
 			level.Info(gu.Logger).Log("msg", "version named", "model", model, "version", version, "row", ro.Version) //nolint:errcheck
 		}
 	}
@@ -154,6 +165,10 @@
 			level.Error(gu.Logger).Log("msg", "row of a guard not readable", "key", ro.ID.Key, "err", err) //nolint:errcheck
 			continue
 		}
+		if strings.HasPrefix(ro.ID.Key, slotPrefix) {
+			gu.seeSlot(ro, re)
+			continue
+		}
 		gu.homes[ro.ID.Key] = re.Home
 	}
 }
@@ -171,6 +186,7 @@
 		return calm
 	}
 	gu.regained(re)
+	gu.told(re)
 	si := gu.situation(re)
 	if home := Home(gu.models(), si.Engines, si.Self, gu.home); home != gu.home && home != "" {
 		if !gu.claim(ctx, home) {
@@ -178,7 +194,11 @@
 		}
 		si.Home = home
 	}
+	gu.release(ctx, re)
 	or, due := Next(si)
+	if due && !gu.acquire(ctx, Slots(len(si.Engines)), Needy(re.Versions[si.Home], or.Version)) {
+		return watchful
+	}
 	if !due {
 		if si.Named[si.Home] > re.Versions[si.Home] {
 			return watchful
@@ -226,10 +246,7 @@
 	gu.mutex.Lock()
 	defer gu.mutex.Unlock()
 	now := gu.Clock.Now()
-	si := Situation{Self: gu.Addr, Report: re, Home: gu.home, Named: map[string]uint64{}, NamedFor: map[string]time.Duration{}}
-	for model, version := range gu.named {
-		si.Named[model], si.NamedFor[model] = version, now.Sub(gu.namedAt[model])
-	}
+	si := Situation{Self: gu.Addr, Report: re, Home: gu.home, Named: maps.Clone(gu.named)}
 	for _, ta := range gu.targets {
 		home := gu.homes[ta.Addr]
 		if ta.Addr == gu.Addr {
@@ -238,7 +255,8 @@
 				si.Report.Instance = ta.ID
 			}
 		}
-		si.Engines = append(si.Engines, Engine{ID: ta.Addr, Home: home})
+		needy := home != "" && Needy(ta.Models[home], gu.named[home])
+		si.Engines = append(si.Engines, Engine{ID: ta.Addr, Home: home, Needy: needy})
 	}
 	if re.Running+re.Waiting > 0 {
 		gu.idle = now
@@ -249,15 +267,25 @@
 
 func (gu *Guard) order(ctx context.Context, or Order, si Situation) {
 	or.Holder, or.Fence = gu.Name, gu.fence
+	gu.ordered = gu.Clock.Now()
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	reply, err := gu.Port.Order(call, or)
 	gu.Meters.Count("orders", string(reply), 1)
 	level.Info(gu.Logger).Log("msg", "order", "model", or.Model, "version", or.Version, "mode", or.Mode, "fence", or.Fence, //nolint:errcheck
-		"accepted", or.Accepted, "loaded", si.Report.Versions[or.Model], "running", si.Report.Running, "named-for", si.NamedFor[or.Model],
+		"accepted", or.Accepted, "loaded", si.Report.Versions[or.Model], "running", si.Report.Running, "slot", gu.held.key,
 		"reply", reply, "err", errors.UnwrapAll(err))
 }
 
+// told logs that the engine came to another version.
+func (gu *Guard) told(re Report) {
+	if version := re.Versions[gu.home]; version != gu.loaded {
+		level.Info(gu.Logger).Log("msg", "version loaded", "model", gu.home, "version", version, "before", gu.loaded, //nolint:errcheck
+			"took", gu.Clock.Now().Sub(gu.ordered), "accepted", re.Accepted)
+		gu.loaded = version
+	}
+}
+
 func (gu *Guard) lost(err error) {
 	if !gu.failing {
 		gu.failing = true
--- a/order/order.go
+++ b/order/order.go
@@ -7,11 +7,13 @@
 //  2. An engine serves one model of its service, its home. Homes are kept in the
 //     store and spread evenly; the last engine of a model that has two more than
 //     another moves there.
-//  3. A version is loaded when the engine is idle. One that is not idle loads at
-//     its turn: the turns of a model's engines start TurnDelay after the version
-//     was named, and at most AtOnceShare of them load together. Trainers permit
-//     the version before the named one, so that the step in hand goes on.
+//  3. Loads share the weight store's bandwidth, so that more than a few together
+//     all take longer. A guard loads only while it holds one of the slots, which
+//     are rows of the store: one for each 1/SlotShare engines of the service.
 //  4. An engine whose version no longer serves the step in hand loads at once.
+//     Trainers permit the version before the named one; an engine that holds it
+//     loads when it is idle and no other one is in need. The owner of the step
+//     empties engines for that.
 //  5. While an order is in progress there is no other one.
 package order
 
@@ -73,23 +75,20 @@
 	Accepted uint64
 }
 
-const (
-	// TurnDelay is how long an engine that is not idle waits for its turn to
-	// begin: the busiest second of a step.
-	TurnDelay = 1500 * time.Millisecond
-	// TurnLength is the time of one load, by the sheets.
-	TurnLength = 950 * time.Millisecond
-	// AtOnceShare is the part of a model's engines that load together. The sheets
-	// name 2 of 12, 2 of 8 and 8 of 42.
-	AtOnceShare = 0.2
-	// leastAtOnce holds for few engines.
-	leastAtOnce = 2
-)
+// SlotShare is the slots over the engines of a service: the loads that the
+// weight store serves together at full speed by the sheets, 2 of 8 and of 12,
+// 8 of 42.
+const SlotShare = 0.2
+
+// Slots is the number of loads together for a number of engines.
+func Slots(engines int) int { return max(1, int(SlotShare*float64(engines)+0.5)) }
 
 // Engine is one engine of the service, as the registry and the homes tell.
 type Engine struct {
 	ID   string
 	Home string
+	// Needy engines hold a version that no longer serves the step in hand.
+	Needy bool
 }
 
 // Situation is what a guard decides on.
@@ -98,10 +97,8 @@
 	Report  Report
 	Home    string
 	Engines []Engine
-	// Named maps a model to its newest version, NamedFor to how long ago the
-	// guard learnt of it.
-	Named    map[string]uint64
-	NamedFor map[string]time.Duration
+	// Named maps a model to its newest version.
+	Named map[string]uint64
 	// IdleFor is how long the engine has had no work; zero if it has some.
 	IdleFor time.Duration
 }
@@ -116,31 +113,19 @@
 	if si.Report.Busy || si.Home == "" || named <= loaded { // rule 5
 		return Order{}, false
 	}
-	or = Order{Instance: si.Report.Instance, Model: si.Home, Version: named, Mode: Retain, Accepted: si.Report.Accepted}
-	switch {
-	case loaded+1 < named: // rule 4
-		return or, true
-	case si.IdleFor >= idleAfter:
-		or.Mode = Wait
+	or = Order{Instance: si.Report.Instance, Model: si.Home, Version: named, Mode: Wait, Accepted: si.Report.Accepted}
+	if Needy(loaded, named) { // rule 4
+		if si.IdleFor < idleAfter {
+			or.Mode = Retain
+		}
 		return or, true
-	default: // rule 3
-		return or, si.NamedFor[si.Home] >= TurnDelay+turn(si)
 	}
+	others := slices.ContainsFunc(si.Engines, func(en Engine) bool { return en.Needy && en.ID != si.Self })
+	return or, si.IdleFor >= idleAfter && !others
 }
 
-// turn is when an engine's turn comes, by its place among those of its home.
-func turn(si Situation) time.Duration {
-	var peers []string
-	for _, en := range si.Engines {
-		if en.Home == si.Home {
-			peers = append(peers, en.ID)
-		}
-	}
-	slices.Sort(peers)
-	at := max(slices.Index(peers, si.Self), 0)
-	together := max(leastAtOnce, int(AtOnceShare*float64(len(peers))))
-	return time.Duration(at/together) * TurnLength
-}
+// Needy tells whether a version no longer serves the step in hand.
+func Needy(loaded, named uint64) bool { return loaded+1 < named }
 
 // Home decides which model an engine serves (rule 2). Homes of engines that
 // chose none yet are empty.
--- /dev/null
+++ b/order/slot.go
@@ -0,0 +1,120 @@
+package order
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log/level"
+
+	"bilberryshelf/core"
+	"bilberryshelf/table"
+)
+
+const (
+	slotPrefix = "slot/"
+	// slotExpiry is how long a slot may stay with one holder: a load with all
+	// engines at once, and an order that is carried out late.
+	slotExpiry = 6 * time.Second
+	// barredMost is how long an engine in need waits for a store that gives no
+	// slots, before it loads without one.
+	barredMost = 1500 * time.Millisecond
+)
+
+// slot is a row of a slot as the feed told it, and when it was first seen so.
+type slot struct {
+	holder  string
+	version uint64
+	seen    time.Time
+}
+
+// held is the slot that this guard holds, at the version of its write.
+type held struct {
+	key     string
+	version uint64
+	since   time.Time
+}
+
+func (gu *Guard) seeSlot(ro table.Row, re row) {
+	if have := gu.slots[ro.ID.Key]; ro.Version <= have.version {
+		return
+	}
+	gu.slots[ro.ID.Key] = slot{holder: re.Holder, version: ro.Version, seen: gu.Clock.Now()}
+}
+
+// acquire takes a free slot, or one whose holder is overdue.
+func (gu *Guard) acquire(ctx context.Context, count int, needy bool) bool {
+	if gu.held.key != "" {
+		return true
+	}
+	// Guards begin at different slots, so that they seldom want the same one.
+	first := int(core.Rendezvous(slotPrefix, gu.Addr) % uint64(count))
+	failed := false
+	for at := range count {
+		key := slotPrefix + strconv.Itoa((first+at)%count)
+		gu.mutex.Lock()
+		sl := gu.slots[key]
+		gu.mutex.Unlock()
+		if sl.holder != "" && gu.Clock.Now().Sub(sl.seen) < slotExpiry {
+			continue
+		}
+		version, err := gu.writeSlot(ctx, key, gu.Addr, sl.version)
+		if err == nil {
+			gu.held, gu.barred = held{key: key, version: version, since: gu.Clock.Now()}, time.Time{}
+			return true
+		}
+		failed = failed || !errors.Is(err, table.ErrConflict)
+	}
+	return failed && needy && gu.overdue()
+}
+
+// overdue tells whether the store has given no slot for too long.
+func (gu *Guard) overdue() bool {
+	now := gu.Clock.Now()
+	if gu.barred.IsZero() {
+		gu.barred = now
+	}
+	return now.Sub(gu.barred) >= barredMost
+}
+
+// release gives the slot back once the load has ended.
+func (gu *Guard) release(ctx context.Context, re Report) {
+	if gu.held.key == "" {
+		return
+	}
+	gu.mutex.Lock()
+	named := gu.named[gu.home]
+	gu.mutex.Unlock()
+	ended := !re.Busy && (re.Versions[gu.home] >= named || gu.Clock.Now().Sub(gu.held.since) > slotExpiry)
+	if !ended {
+		return
+	}
+	_, err := gu.writeSlot(ctx, gu.held.key, "", gu.held.version)
+	if err == nil || errors.Is(err, table.ErrConflict) {
+		gu.held = held{}
+		return
+	}
+	level.Warn(gu.Logger).Log("msg", "slot not released", "slot", gu.held.key, "err", err) //nolint:errcheck
+}
+
+func (gu *Guard) writeSlot(ctx context.Context, key, holder string, expect uint64) (uint64, error) {
+	raw, err := cbor.Marshal(row{Holder: holder})
+	if err != nil {
+		return 0, errors.Wrap(err, "encode a slot")
+	}
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	id := table.ID{Table: Table, Key: key}
+	version, err := gu.Store.Commit(call, table.Tx{
+		Expect: []table.Expect{{ID: id, Version: expect}}, Puts: []table.Put{{ID: id, Value: raw}},
+	})
+	if err != nil {
+		return 0, err
+	}
+	gu.mutex.Lock()
+	defer gu.mutex.Unlock()
+	gu.slots[key] = slot{holder: holder, version: version, seen: gu.Clock.Now()}
+	return version, nil
+}
--- a/place/place.go
+++ b/place/place.go
@@ -18,9 +18,15 @@
 //  4. Inside the class, an engine that read the same prompt goes first unless it
 //     is fuller than the emptiest by more than AffinitySlack slots; then the
 //     share of slots in use decides; then the failure domain of the owner.
-//  5. A run leaves its engine for one of the fastest class with room when its
-//     own engine is outside of the class, or when it has made no event for
-//     Stall. What it generated so far is kept.
+//  5. An engine that refused an item takes one at a time until one has begun.
+//  6. Loading weights stops an engine's runs for about a second. So once no item
+//     waits, engines whose weights are behind the named version are emptied,
+//     the ones with the fewest runs first, AtOnceShare of them together, while
+//     the others have room for their runs. Their guards load them when they are
+//     idle.
+//  7. A run leaves its engine for one of the fastest class with room when its
+//     own engine is outside of the class or is emptied, or when it has made no
+//     event for Stall. What it generated so far is kept.
 package place
 
 import (
@@ -57,6 +63,12 @@
 	Pace time.Duration
 	// Resting engines refused or failed a moment ago.
 	Resting bool
+	// Probing engines refused the last item; Unproven counts the runs since that
+	// have no event yet.
+	Probing  bool
+	Unproven int
+	// Emptying engines take no items, so that they may load weights.
+	Emptying bool
 	// Groups counts the runs of each group that the engine has read the prompt
 	// of.
 	Groups map[string]int
@@ -135,7 +147,10 @@
 }
 
 func fits(en Engine, it Item) bool {
-	return !en.Resting && en.free() > 0 && en.Version >= it.Oldest
+	if en.Probing && en.Unproven > 0 { // rule 5
+		return false
+	}
+	return !en.Resting && !en.Emptying && en.free() > 0 && en.Version >= it.Oldest
 }
 
 // emptiest is the fewest runs of an engine that the item may go to.
@@ -166,7 +181,7 @@
 func lastResort(engines []Engine, it Item, median time.Duration) int {
 	best := -1
 	for at, en := range engines {
-		if en.Version < it.Oldest || en.Resting {
+		if en.Version < it.Oldest || en.Resting || en.Emptying || (en.Probing && en.Unproven > 0) {
 			continue
 		}
 		if !Slow(en, median) && en.ID != it.Avoid {
@@ -189,7 +204,7 @@
 	Started bool
 }
 
-// Leave tells whether a run should go on at another engine (rule 5).
+// Leave tells whether a run should go on at another engine (rule 7).
 func Leave(engines []Engine, ru Run) bool {
 	median := Median(engines)
 	at := slices.IndexFunc(engines, func(en Engine) bool { return en.ID == ru.Engine })
@@ -197,7 +212,7 @@
 	if ru.Started {
 		stall = Stall
 	}
-	wants := ru.Silent > stall || (at >= 0 && Slow(engines[at], median))
+	wants := ru.Silent > stall || (at >= 0 && (engines[at].Emptying || Slow(engines[at], median)))
 	if !wants {
 		return false
 	}
@@ -208,3 +223,41 @@
 	}
 	return false
 }
+
+// AtOnceShare is the part of the engines that are emptied together: as many as
+// the weight store serves at full speed by the sheets, 2 of 8 to 8 of 42.
+const AtOnceShare = 0.2
+
+// Empty chooses the engines to be emptied next (rule 6). Serving is the engines
+// that hold a version which the step in hand permits.
+func Empty(engines []Engine, oldest, named uint64) []int {
+	var behind []int
+	emptying, room, serving := 0, 0, 0
+	for at, en := range engines {
+		if en.Version < oldest {
+			continue
+		}
+		serving++
+		switch {
+		case en.Emptying:
+			emptying++
+		case en.Version < named:
+			behind = append(behind, at)
+			room += max(en.free(), 0)
+		default:
+			room += max(en.free(), 0)
+		}
+	}
+	slices.SortStableFunc(behind, func(lhs, rhs int) int { return cmp.Compare(engines[lhs].Running, engines[rhs].Running) })
+	together := max(1, int(AtOnceShare*float64(serving)+0.5))
+	var chosen []int
+	for _, at := range behind {
+		room -= max(engines[at].free(), 0)
+		if emptying+len(chosen) >= min(together, serving-1) || room < engines[at].Running {
+			break
+		}
+		room -= engines[at].Running
+		chosen = append(chosen, at)
+	}
+	return chosen
+}
--- a/runs/engine.go
+++ b/runs/engine.go
@@ -21,6 +21,10 @@
 	pacedAt  time.Time
 	until    time.Time
 	cuts     int
+	// refusals counts the refusals in a row.
+	refusals int
+	// emptied is when the engine began to be emptied; zero when it is not.
+	emptied time.Time
 }
 
 func newEngine(ta fleet.Target) *engine {
@@ -35,9 +39,27 @@
 	return place.Engine{
 		ID: en.target.ID, Domain: en.target.Domain, Slots: en.target.Slots, Running: en.running,
 		Version: en.version(model), Pace: en.pace, Resting: now.Before(en.until), Groups: en.groups,
+		Probing: en.refusals > 0, Unproven: en.unproven(), Emptying: !en.emptied.IsZero(),
 	}
 }
 
+// unproven counts the runs without an event.
+func (en *engine) unproven() int {
+	count := 0
+	for ru := range en.runs {
+		if _, _, version := ru.progress(); version == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// refused leaves the engine out for a while after a refusal.
+func (en *engine) refused(now time.Time) {
+	en.refusals++
+	en.until = now.Add(min(refusedRest<<min(en.refusals-1, 3), refusedRestMost))
+}
+
 // rest leaves the engine out for a while after a cut.
 func (en *engine) rest(now time.Time) {
 	en.until = now.Add(min(cutRest<<min(en.cuts, 5), cutRestMost))
@@ -94,21 +116,23 @@
 
 	mutex  sync.Mutex
 	events []Event
-	first  time.Time
-	last   time.Time
+	// times holds when the last events came, in a ring.
+	times  [paceEvents + 1]time.Time
 	closed bool
 }
 
+// paceEvents is the number of gaps between events that a pace is taken from:
+// few enough to see a slower engine within a quarter of a second.
+const paceEvents = 4
+
 func (ru *run) add(now time.Time, ev Event) {
 	ru.mutex.Lock()
 	defer ru.mutex.Unlock()
 	if ru.closed {
 		return
 	}
-	if len(ru.events) == 0 {
-		ru.first = now
-	}
-	ru.events, ru.last = append(ru.events, ev), now
+	ru.times[len(ru.events)%len(ru.times)] = now
+	ru.events = append(ru.events, ev)
 }
 
 // take ends the run for the loop and returns its events; later ones are dropped.
@@ -122,28 +146,18 @@
 	return ru.events
 }
 
-// progress tells when the last event came, and the mean time between events
-// since the first; zero if there is none yet.
+// progress tells when the last event came, the mean time between the last
+// events, zero if there are not two, and the version of the last one.
 func (ru *run) progress() (last time.Time, pace time.Duration, version uint64) {
 	ru.mutex.Lock()
 	defer ru.mutex.Unlock()
-	if len(ru.events) == 0 {
+	count := len(ru.events)
+	if count == 0 {
 		return ru.began, 0, 0
 	}
-	if gaps := len(ru.events) - 1; gaps > 0 {
-		pace = ru.last.Sub(ru.first) / time.Duration(gaps)
-	}
-	return ru.last, pace, ru.events[len(ru.events)-1].Version
-}
-
-// recent returns the pace over the events since the last call, and resets it.
-func (ru *run) recent() (sum time.Duration, count int) {
-	ru.mutex.Lock()
-	defer ru.mutex.Unlock()
-	count = len(ru.events) - 1
-	if count < 1 {
-		return 0, 0
+	last = ru.times[(count-1)%len(ru.times)]
+	if gaps := min(count-1, paceEvents); gaps > 0 {
+		pace = last.Sub(ru.times[(count-1-gaps)%len(ru.times)]) / time.Duration(gaps)
 	}
-	sum = ru.last.Sub(ru.first)
-	return sum, count
+	return last, pace, ru.events[count-1].Version
 }
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -97,6 +97,8 @@
 	jobs    map[string]*job
 	engines map[string]*engine
 	placing bool
+	// named maps a model to the version that its trainer named.
+	named map[string]uint64
 	// memory keeps the partial texts of ended jobs by route, newest job last.
 	memory map[string]map[string]batch.Partial
 }
@@ -108,8 +110,12 @@
 	gather = 40 * time.Millisecond
 	// storePause is the pause before a write is tried again.
 	storePause = 100 * time.Millisecond
-	// refusedRest is how long an engine that refused an item is left out.
-	refusedRest = 80 * time.Millisecond
+	// refusedRest is how long an engine that refused an item is left out, doubled
+	// for each refusal in a row up to refusedRestMost; a load takes 0.9 s.
+	refusedRest     = 60 * time.Millisecond
+	refusedRestMost = 250 * time.Millisecond
+	// emptyFor is how long an engine stays empty for a load that does not come.
+	emptyFor = 3 * time.Second
 	// cutRest is how long an engine that cut a run is left out, doubled for each
 	// cut in a row up to cutRestMost.
 	cutRest     = 150 * time.Millisecond
@@ -128,7 +134,7 @@
 	ow.Loop.Do(func() {
 		ow.ctx = ctx
 		ow.jobs, ow.engines = map[string]*job{}, map[string]*engine{}
-		ow.memory = map[string]map[string]batch.Partial{}
+		ow.memory, ow.named = map[string]map[string]batch.Partial{}, map[string]uint64{}
 	})
 	for {
 		select {
@@ -151,10 +157,22 @@
 		ow.expire(now, jo)
 		ow.list(now, jo)
 	}
+	for _, jo := range ow.jobs {
+		ow.empty(now, jo)
+	}
 	ow.leave(now)
 	ow.place()
 }
 
+// Named records the version of a model that its trainer named.
+func (ow *Owner) Named(model string, version uint64) {
+	ow.Loop.Post(func() {
+		if ow.named != nil {
+			ow.named[model] = max(ow.named[model], version)
+		}
+	})
+}
+
 // follow compares a job with its head as the feed told it.
 func (ow *Owner) follow(jo *job) {
 	kn, found := ow.Index.Get(jo.body.ID)
@@ -334,6 +352,9 @@
 func (ow *Owner) engineViews(now time.Time, service, model string) []place.Engine {
 	var views []place.Engine
 	for _, en := range ow.engines {
+		if !en.emptied.IsZero() && (now.Sub(en.emptied) > emptyFor || en.version(model) >= ow.named[model]) {
+			en.emptied = time.Time{}
+		}
 		if en.target.Service == service && !en.target.Draining {
 			views = append(views, en.view(now, model))
 		}
--- a/runs/step.go
+++ b/runs/step.go
@@ -22,6 +22,7 @@
 		for ru := range en.runs {
 			last, pace, version := ru.progress()
 			if version > 0 {
+				en.refusals = 0
 				model := ru.job.body.Model
 				en.versions[model] = max(en.versions[model], version)
 			}
@@ -91,6 +92,7 @@
 			continue
 		}
 		views[at].Running++
+		views[at].Unproven++
 		ow.begin(now, jo, jo.items[wi.Index], ow.engines[views[at].ID])
 	}
 }
@@ -114,6 +116,23 @@
 	}()
 }
 
+// empty chooses engines to be emptied for a load, once no item waits.
+func (ow *Owner) empty(now time.Time, jo *job) {
+	named := ow.named[jo.body.Model]
+	for _, it := range jo.items {
+		if it.state == waiting {
+			return
+		}
+	}
+	views := ow.engineViews(now, jo.service, jo.body.Model)
+	for _, at := range place.Empty(views, jo.body.Oldest, named) {
+		en := ow.engines[views[at].ID]
+		en.emptied = now
+		level.Info(ow.Logger).Log("msg", "engine emptied for a load", "engine", en.target.ID, "job", jo.body.ID, //nolint:errcheck
+			"runs", en.running, "loaded", en.version(jo.body.Model), "named", named)
+	}
+}
+
 // leave moves runs off engines that turned slow or silent.
 func (ow *Owner) leave(now time.Time) {
 	for _, jo := range ow.jobs {
@@ -190,10 +209,10 @@
 	case ru.leaving || ru.job.gone:
 		return
 	case out.Ending == Whole:
-		en.cuts = 0
+		en.cuts, en.refusals = 0, 0
 		return
 	case out.Ending == Refused:
-		en.until = now.Add(refusedRest)
+		en.refused(now)
 	case out.Ending == Moved || (out.Ending == Cut && events == 0):
 		en.rest(now)
 	}
