order, runs: a slot ends with its load; owners know which engines load and which model they serve

Cause: a guard that was no longer idle kept its slot until its expiry, so for 1 to 5 s nothing loaded while six engines could not serve; owners emptied engines that serve another model. Ruled out: the store's rates (9,147 calls in 54 s).

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -22,6 +22,7 @@
 	"bilberryshelf/fleet"
 	"bilberryshelf/member"
 	"bilberryshelf/meter"
+	"bilberryshelf/order"
 	"bilberryshelf/runs"
 	"bilberryshelf/table"
 	"bilberryshelf/via"
@@ -151,7 +152,26 @@
 		defer en.mutex.Unlock()
 		en.members.Confirm(at)
 	}
-	return []*table.Feed{feed(en.decoders.OperatorTable, en.operator, en.operator), targets, heads, members}
+	return []*table.Feed{
+		feed(en.decoders.OperatorTable, en.operator, en.operator), targets, heads, members,
+		feed(order.Table, en.guards, en.guards),
+	}
+}
+
+// guards takes rows of guards: which model an engine serves, and which engines
+// hold a slot for a load.
+func (en *Entry) guards(rows []table.Row) {
+	for _, ro := range rows {
+		re, err := order.DecodeRow(ro)
+		switch {
+		case err != nil:
+			level.Warn(en.logger).Log("msg", "row of a guard not readable", "err", err) //nolint:errcheck
+		case order.IsSlot(ro):
+			en.owner.Loading(ro.ID.Key, re.Holder)
+		default:
+			en.owner.Home(ro.ID.Key, re.Home)
+		}
+	}
 }
 
 // operator takes rows of the operator. Only a higher version is adopted.
--- a/order/guard.go
+++ b/order/guard.go
@@ -29,13 +29,25 @@
 // for each slot.
 const Table = "guard"
 
-// row is what a guard keeps in the store.
-type row struct {
+// Row is what a guard keeps in the store.
+type Row struct {
 	Home string `cbor:"1,keyasint"`
 	// Holder is the guard that holds a slot; empty for a free one.
 	Holder string `cbor:"2,keyasint,omitempty"`
 }
 
+// DecodeRow reads a row of Table. A dropped row is empty.
+func DecodeRow(ro table.Row) (Row, error) {
+	var re Row
+	if ro.Dropped {
+		return re, nil
+	}
+	return re, errors.Wrapf(cbor.Unmarshal(ro.Value, &re), "decode the row of a guard %s", ro.ID.Key)
+}
+
+// IsSlot tells whether a row is that of a slot.
+func IsSlot(ro table.Row) bool { return strings.HasPrefix(ro.ID.Key, slotPrefix) }
+
 // Guard orders one engine. Set the exported fields before Run.
 type Guard struct {
 	// Name is the holder of the orders, the machine.
@@ -160,12 +172,12 @@
 	gu.mutex.Lock()
 	defer gu.mutex.Unlock()
 	for _, ro := range rows {
-		var re row
-		if err := cbor.Unmarshal(ro.Value, &re); err != nil && !ro.Dropped {
+		re, err := DecodeRow(ro)
+		if err != nil {
 			level.Error(gu.Logger).Log("msg", "row of a guard not readable", "key", ro.ID.Key, "err", err) //nolint:errcheck
 			continue
 		}
-		if strings.HasPrefix(ro.ID.Key, slotPrefix) {
+		if IsSlot(ro) {
 			gu.seeSlot(ro, re)
 			continue
 		}
@@ -196,7 +208,7 @@
 	}
 	gu.release(ctx, re)
 	or, due := Next(si)
-	if due && !gu.acquire(ctx, Slots(len(si.Engines)), Needy(re.Versions[si.Home], or.Version)) {
+	if due && !gu.acquire(ctx, Slots(len(si.Engines)), or.Version, Needy(re.Versions[si.Home], or.Version)) {
 		return watchful
 	}
 	if !due {
@@ -212,7 +224,7 @@
 // claim writes the guard's row. The version of the first such write is the
 // fence of this start.
 func (gu *Guard) claim(ctx context.Context, home string) bool {
-	raw, err := cbor.Marshal(row{Home: home})
+	raw, err := cbor.Marshal(Row{Home: home})
 	if err != nil {
 		level.Error(gu.Logger).Log("msg", "row not encoded", "err", err) //nolint:errcheck
 		return false
--- a/order/slot.go
+++ b/order/slot.go
@@ -15,9 +15,9 @@
 
 const (
 	slotPrefix = "slot/"
-	// slotExpiry is how long a slot may stay with one holder: a load with all
-	// engines at once, and an order that is carried out late.
-	slotExpiry = 6 * time.Second
+	// slotExpiry is how long a slot may stay with one holder: more than two loads
+	// at full speed. A holder that is cut off from the store can't release it.
+	slotExpiry = 2500 * time.Millisecond
 	// barredMost is how long an engine in need waits for a store that gives no
 	// slots, before it loads without one.
 	barredMost = 1500 * time.Millisecond
@@ -35,9 +35,11 @@
 	key     string
 	version uint64
 	since   time.Time
+	// target is the version that is loaded under the slot.
+	target uint64
 }
 
-func (gu *Guard) seeSlot(ro table.Row, re row) {
+func (gu *Guard) seeSlot(ro table.Row, re Row) {
 	if have := gu.slots[ro.ID.Key]; ro.Version <= have.version {
 		return
 	}
@@ -45,7 +47,7 @@
 }
 
 // acquire takes a free slot, or one whose holder is overdue.
-func (gu *Guard) acquire(ctx context.Context, count int, needy bool) bool {
+func (gu *Guard) acquire(ctx context.Context, count int, target uint64, needy bool) bool {
 	if gu.held.key != "" {
 		return true
 	}
@@ -62,7 +64,7 @@
 		}
 		version, err := gu.writeSlot(ctx, key, gu.Addr, sl.version)
 		if err == nil {
-			gu.held, gu.barred = held{key: key, version: version, since: gu.Clock.Now()}, time.Time{}
+			gu.held, gu.barred = held{key: key, version: version, since: gu.Clock.Now(), target: target}, time.Time{}
 			return true
 		}
 		failed = failed || !errors.Is(err, table.ErrConflict)
@@ -84,10 +86,8 @@
 	if gu.held.key == "" {
 		return
 	}
-	gu.mutex.Lock()
-	named := gu.named[gu.home]
-	gu.mutex.Unlock()
-	ended := !re.Busy && (re.Versions[gu.home] >= named || gu.Clock.Now().Sub(gu.held.since) > slotExpiry)
+	now := gu.Clock.Now()
+	ended := !re.Busy && (re.Versions[gu.home] >= gu.held.target || now.Sub(gu.held.since) > slotExpiry)
 	if !ended {
 		return
 	}
@@ -100,7 +100,7 @@
 }
 
 func (gu *Guard) writeSlot(ctx context.Context, key, holder string, expect uint64) (uint64, error) {
-	raw, err := cbor.Marshal(row{Holder: holder})
+	raw, err := cbor.Marshal(Row{Holder: holder})
 	if err != nil {
 		return 0, errors.Wrap(err, "encode a slot")
 	}
--- a/place/place.go
+++ b/place/place.go
@@ -67,6 +67,9 @@
 	// have no event yet.
 	Probing  bool
 	Unproven int
+	// Loading engines load weights; Home is the model that the engine serves.
+	Loading bool
+	Home    string
 	// Emptying engines take no items, so that they may load weights.
 	Emptying bool
 	// Groups counts the runs of each group that the engine has read the prompt
@@ -150,7 +153,7 @@
 	if en.Probing && en.Unproven > 0 { // rule 5
 		return false
 	}
-	return !en.Resting && !en.Emptying && en.free() > 0 && en.Version >= it.Oldest
+	return !en.Resting && !en.Loading && !en.Emptying && en.free() > 0 && en.Version >= it.Oldest
 }
 
 // emptiest is the fewest runs of an engine that the item may go to.
@@ -181,7 +184,7 @@
 func lastResort(engines []Engine, it Item, median time.Duration) int {
 	best := -1
 	for at, en := range engines {
-		if en.Version < it.Oldest || en.Resting || en.Emptying || (en.Probing && en.Unproven > 0) {
+		if en.Version < it.Oldest || en.Resting || en.Loading || en.Emptying || (en.Probing && en.Unproven > 0) {
 			continue
 		}
 		if !Slow(en, median) && en.ID != it.Avoid {
@@ -224,28 +227,26 @@
 	return false
 }
 
-// AtOnceShare is the part of the engines that are emptied together: as many as
-// the weight store serves at full speed by the sheets, 2 of 8 to 8 of 42.
+// AtOnceShare is the part of the engines that load together: as many as the
+// weight store serves at full speed by the sheets, 2 of 8 to 8 of 42.
 const AtOnceShare = 0.2
 
-// Empty chooses the engines to be emptied next (rule 6). Serving is the engines
-// that hold a version which the step in hand permits.
-func Empty(engines []Engine, oldest, named uint64) []int {
+// Empty chooses the engines to be emptied next (rule 6).
+func Empty(engines []Engine, model string, oldest, named uint64) []int {
 	var behind []int
-	emptying, room, serving := 0, 0, 0
+	away, room, serving := 0, 0, 0
 	for at, en := range engines {
-		if en.Version < oldest {
+		if en.Home != model || en.Version < oldest {
 			continue
 		}
 		serving++
-		switch {
-		case en.Emptying:
-			emptying++
-		case en.Version < named:
+		if en.Emptying || en.Loading {
+			away++
+			continue
+		}
+		room += max(en.free(), 0)
+		if en.Version < named {
 			behind = append(behind, at)
-			room += max(en.free(), 0)
-		default:
-			room += max(en.free(), 0)
 		}
 	}
 	slices.SortStableFunc(behind, func(lhs, rhs int) int { return cmp.Compare(engines[lhs].Running, engines[rhs].Running) })
@@ -253,7 +254,7 @@
 	var chosen []int
 	for _, at := range behind {
 		room -= max(engines[at].free(), 0)
-		if emptying+len(chosen) >= min(together, serving-1) || room < engines[at].Running {
+		if away+len(chosen) >= min(together, serving-1) || room < engines[at].Running {
 			break
 		}
 		room -= engines[at].Running
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -99,6 +99,10 @@
 	placing bool
 	// named maps a model to the version that its trainer named.
 	named map[string]uint64
+	// homes maps an engine's address to the model that it serves, loads a slot to
+	// the address of the engine that loads under it.
+	homes map[string]string
+	loads map[string]load
 	// memory keeps the partial texts of ended jobs by route, newest job last.
 	memory map[string]map[string]batch.Partial
 }
@@ -114,6 +118,8 @@
 	// for each refusal in a row up to refusedRestMost; a load takes 0.9 s.
 	refusedRest     = 60 * time.Millisecond
 	refusedRestMost = 250 * time.Millisecond
+	// loadMost is how long an engine is left out for a load whose end is not told.
+	loadMost = 2 * time.Second
 	// emptyFor is how long an engine stays empty for a load that does not come.
 	emptyFor = 3 * time.Second
 	// cutRest is how long an engine that cut a run is left out, doubled for each
@@ -135,6 +141,7 @@
 		ow.ctx = ctx
 		ow.jobs, ow.engines = map[string]*job{}, map[string]*engine{}
 		ow.memory, ow.named = map[string]map[string]batch.Partial{}, map[string]uint64{}
+		ow.homes, ow.loads = map[string]string{}, map[string]load{}
 	})
 	for {
 		select {
@@ -246,6 +253,41 @@
 	})
 }
 
+// load is an engine that loads weights, and since when this is known.
+type load struct {
+	addr string
+	at   time.Time
+}
+
+// Home records which model an engine serves.
+func (ow *Owner) Home(addr, model string) {
+	ow.Loop.Post(func() {
+		if ow.homes != nil {
+			ow.homes[addr] = model
+		}
+	})
+}
+
+// Loading records which engine loads under a slot; an empty address frees it.
+func (ow *Owner) Loading(slot, addr string) {
+	ow.Loop.Post(func() {
+		if ow.loads != nil {
+			ow.loads[slot] = load{addr: addr, at: ow.Clock.Now()}
+			ow.place()
+		}
+	})
+}
+
+// loading tells whether an engine loads weights, as far as is known.
+func (ow *Owner) loading(now time.Time, addr string) bool {
+	for _, lo := range ow.loads {
+		if lo.addr == addr && now.Sub(lo.at) < loadMost {
+			return true
+		}
+	}
+	return false
+}
+
 // Idle tells whether no job runs here.
 func (ow *Owner) Idle() bool {
 	idle := true
@@ -356,7 +398,10 @@
 			en.emptied = time.Time{}
 		}
 		if en.target.Service == service && !en.target.Draining {
-			views = append(views, en.view(now, model))
+			vi := en.view(now, model)
+			vi.Loading = ow.loading(now, en.target.Addr)
+			vi.Home = ow.homes[en.target.Addr]
+			views = append(views, vi)
 		}
 	}
 	return views
--- a/runs/step.go
+++ b/runs/step.go
@@ -125,7 +125,7 @@
 		}
 	}
 	views := ow.engineViews(now, jo.service, jo.body.Model)
-	for _, at := range place.Empty(views, jo.body.Oldest, named) {
+	for _, at := range place.Empty(views, jo.body.Model, jo.body.Oldest, named) {
 		en := ow.engines[views[at].ID]
 		en.emptied = now
 		level.Info(ow.Logger).Log("msg", "engine emptied for a load", "engine", en.target.ID, "job", jo.body.ID, //nolint:errcheck
