--- /dev/null
+++ b/batch/ledger_test.go
@@ -0,0 +1,208 @@
+package batch_test
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bilberryshelf/batch"
+	"bilberryshelf/fake"
+	"bilberryshelf/table"
+)
+
+func job(items, size int) *batch.Job {
+	jo := &batch.Job{ID: "j1", Host: "h", Path: "/p/", Model: "m", Oldest: 1, Groups: 1}
+	for at := range items {
+		jo.Items = append(jo.Items, batch.Item{ID: "i" + strconv.Itoa(at), Path: "/p/x", Group: "g", Body: make([]byte, size)})
+	}
+	return jo
+}
+
+func results(from, count, size int) []batch.Result {
+	var out []batch.Result
+	for at := from; at < from+count; at++ {
+		out = append(out, batch.Result{
+			ID: "i" + strconv.Itoa(at), State: batch.Completed, Text: strings.Repeat("x", size), Versions: []uint64{1}, Score: "s",
+		})
+	}
+	return out
+}
+
+func accept(t *testing.T, le batch.Ledger, jo *batch.Job) batch.Known {
+	t.Helper()
+	kn, err := le.Accept(context.Background(), jo, batch.Head{Epoch: 1, Owner: "a", Total: len(jo.Items)})
+	require.NoError(t, err)
+	return kn
+}
+
+// A job is accepted once, whole, however its answers get lost.
+func TestAccept(t *testing.T) {
+	ctx := context.Background()
+	for _, tc := range []struct {
+		name   string
+		faults fake.RowFaults
+		err    error
+		kept   bool
+	}{
+		{"healthy", fake.RowFaults{}, nil, true},
+		{"the answer is lost", fake.RowFaults{LoseAnswers: 1}, nil, true},
+		{"the store refuses", fake.RowFaults{Refuse: true}, table.ErrRefused, false},
+		{"the write is late", fake.RowFaults{LateWrites: 1, Late: time.Hour}, batch.ErrUnsettled, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			rows := &fake.Rows{}
+			le := batch.Ledger{Store: rows}
+			rows.Set(tc.faults)
+			_, err := le.Accept(ctx, job(20, 100), batch.Head{Epoch: 1, Owner: "a", Total: 20})
+			require.True(t, errors.Is(err, tc.err))
+			rows.Set(fake.RowFaults{})
+			kn, err := le.Find(ctx, "j1")
+			require.NoError(t, err)
+			require.Equal(t, tc.kept, kn.Version > 0)
+			if !tc.kept {
+				return
+			}
+			body, err := le.Body(ctx, "j1")
+			require.NoError(t, err)
+			require.Equal(t, job(20, 100), body)
+			_, err = le.Accept(ctx, job(20, 100), batch.Head{Epoch: 1, Owner: "b", Total: 20})
+			require.True(t, errors.Is(err, batch.ErrLost), "it was accepted before")
+		})
+	}
+}
+
+// A job that is larger than one transaction has no head until its body is whole.
+func TestLargeJob(t *testing.T) {
+	rows := &fake.Rows{}
+	le := batch.Ledger{Store: rows}
+	big := job(40, 60000)
+	accept(t, le, big)
+	require.Greater(t, rows.Commits(), 1)
+	body, err := le.Body(context.Background(), "j1")
+	require.NoError(t, err)
+	require.Equal(t, big, body)
+}
+
+// Results stand at the position where they were listed first, whoever writes.
+func TestAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := &fake.Rows{}
+		le := batch.Ledger{Store: rows}
+		ctx := context.Background()
+		kn := accept(t, le, job(30, 10))
+
+		ap, count := batch.NewAppend("j1", kn, results(0, 5, 100))
+		require.Equal(t, 5, count)
+		rows.Set(fake.RowFaults{LoseAnswers: 1})
+		kn, err := le.Commit(ctx, ap)
+		require.NoError(t, err, "settled by reading the head")
+		require.Equal(t, 5, kn.Head.Listed)
+
+		late, _ := batch.NewAppend("j1", kn, results(5, 3, 100))
+		rows.Set(fake.RowFaults{LateWrites: 1, Late: 3 * time.Second})
+		_, err = le.Commit(ctx, late)
+		require.True(t, errors.Is(err, batch.ErrUnsettled))
+		kn, err = le.Commit(ctx, late)
+		require.NoError(t, err)
+		time.Sleep(4 * time.Second) // the late write meets another version
+		require.Equal(t, 8, kn.Head.Listed)
+
+		former := kn
+		kn, err = le.Adopt(ctx, "j1", kn, "b")
+		require.NoError(t, err)
+		ap, _ = batch.NewAppend("j1", former, results(20, 2, 100))
+		_, err = le.Commit(ctx, ap)
+		require.True(t, errors.Is(err, batch.ErrLost), "a former owner writes nothing")
+
+		kn, err = le.End(ctx, "j1", kn)
+		require.NoError(t, err)
+		require.False(t, kn.Head.Open())
+		listed, err := le.Results(ctx, "j1", 0)
+		require.NoError(t, err)
+		require.Equal(t, results(0, 8, 100), listed)
+		listed, err = le.Results(ctx, "j1", 6)
+		require.NoError(t, err)
+		require.Equal(t, results(6, 2, 100), listed)
+	})
+}
+
+// Texts of any size come back as they were, in order, within the store's bounds.
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rows := &fake.Rows{}
+		le := batch.Ledger{Store: rows}
+		ctx := context.Background()
+		count := rapid.IntRange(1, 40).Draw(rt, "count")
+		kn, err := le.Accept(ctx, job(count, 1), batch.Head{Epoch: 1, Total: count})
+		require.NoError(rt, err)
+		var all []batch.Result
+		for at := range count {
+			all = append(all, results(at, 1, rapid.SampledFrom([]int{0, 1, 59990, 60000, 60100, 130000, 400000}).Draw(rt, "size"))...)
+		}
+		for left := all; len(left) > 0; {
+			ap, taken := batch.NewAppend("j1", kn, left)
+			bytes := 0
+			for _, pu := range ap.Puts {
+				require.LessOrEqual(rt, len(pu.Value), 65536)
+				bytes += len(pu.Value)
+			}
+			require.LessOrEqual(rt, len(ap.Puts), 98)
+			require.Less(rt, bytes*4/3, 1000000)
+			kn, err = le.Commit(ctx, ap)
+			require.NoError(rt, err)
+			left = left[taken:]
+		}
+		got, err := le.Results(ctx, "j1", 0)
+		require.NoError(rt, err)
+		require.Equal(rt, all, got)
+	})
+}
+
+// A partial text of which only some rows were replaced is left out.
+func TestPartials(t *testing.T) {
+	ctx := context.Background()
+	rows := &fake.Rows{}
+	le := batch.Ledger{Store: rows}
+	text := func(mark string) batch.Partial {
+		return batch.Partial{ID: "i1", Events: []string{strings.Repeat(mark, 70000)}, Versions: []uint64{3}}
+	}
+	require.NoError(t, le.SavePartials(ctx, "r", []batch.Partial{text("a"), {ID: "i2", Events: []string{"b"}, Versions: []uint64{4}}}))
+	torn := batch.PartialPuts("r", text("c"))
+	_, err := rows.Commit(ctx, table.Tx{Puts: torn[:1]})
+	require.NoError(t, err)
+	got, err := le.TakePartials(ctx, "r")
+	require.NoError(t, err)
+	require.Equal(t, map[string]batch.Partial{"i2": {ID: "i2", Events: []string{"b"}, Versions: []uint64{4}}}, got)
+	got, err = le.TakePartials(ctx, "r")
+	require.NoError(t, err)
+	require.Empty(t, got, "they are taken once")
+	require.True(t, batch.Partial{Events: []string{"x"}, Versions: []uint64{3}}.Fits(3))
+	require.False(t, batch.Partial{Events: []string{"x"}, Versions: []uint64{2}}.Fits(3))
+}
+
+func TestCheck(t *testing.T) {
+	for name, spoil := range map[string]func(*batch.Job){
+		"no id":       func(jo *batch.Job) { jo.ID = "" },
+		"long id":     func(jo *batch.Job) { jo.ID = strings.Repeat("j", batch.MaxID+1) },
+		"no items":    func(jo *batch.Job) { jo.Items = nil },
+		"twice":       func(jo *batch.Job) { jo.Items[1].ID = jo.Items[0].ID },
+		"no path":     func(jo *batch.Job) { jo.Items[0].Path = "" },
+		"no item id":  func(jo *batch.Job) { jo.Items[0].ID = "" },
+		"nothing bad": nil,
+	} {
+		jo := job(2, 1)
+		if spoil == nil {
+			require.NoError(t, jo.Check())
+			continue
+		}
+		spoil(jo)
+		require.Error(t, jo.Check(), name)
+	}
+}
--- /dev/null
+++ b/via/via_test.go
@@ -0,0 +1,159 @@
+package via_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/core"
+	"bilberryshelf/fake"
+	"bilberryshelf/table"
+	"bilberryshelf/via"
+	"bilberryshelf/wire/wireconnect"
+)
+
+// cut is a way to a store that can be cut; the store itself goes on.
+type cut struct {
+	*fake.Rows
+	err    error
+	silent bool
+	calls  int
+}
+
+func (cu *cut) meet(ctx context.Context) error {
+	cu.calls++
+	if cu.silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return cu.err
+}
+
+func (cu *cut) Commit(ctx context.Context, tx table.Tx) (uint64, error) {
+	if err := cu.meet(ctx); err != nil {
+		return 0, err
+	}
+	return cu.Rows.Commit(ctx, tx)
+}
+
+func (cu *cut) List(ctx context.Context, ra table.Range) (table.Page, error) {
+	if err := cu.meet(ctx); err != nil {
+		return table.Page{}, err
+	}
+	return cu.Rows.List(ctx, ra)
+}
+
+func (cu *cut) Watch(ctx context.Context, name string, after uint64, wait time.Duration) (table.Page, error) {
+	if err := cu.meet(ctx); err != nil {
+		return table.Page{}, err
+	}
+	return cu.Rows.Watch(ctx, name, after, wait)
+}
+
+var tx = table.Tx{Puts: []table.Put{{ID: table.ID{Table: "t", Key: "k"}, Value: []byte("v")}}}
+
+func TestWays(t *testing.T) {
+	open := errors.New("reset")
+	for _, tc := range []struct {
+		name string
+		err  error
+		// silent lets the direct way not answer at all.
+		silent  bool
+		commit  bool
+		list    bool
+		commits int
+	}{
+		{"sound", nil, false, true, true, 1},
+		{"refused: a peer writes it", table.ErrRefused, false, true, true, 1},
+		{"open: a write is not repeated, a read is", open, false, false, true, 0},
+		{"silent: a write is not repeated, a read is", nil, true, false, true, 0},
+		{"a conflict is an answer", table.ErrConflict, false, false, false, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rows := &fake.Rows{}
+				direct := &cut{Rows: rows, err: tc.err, silent: tc.silent}
+				st := &via.Store{
+					Direct: direct, Clock: core.SystemClock{}, Logger: log.NewNopLogger(),
+					Peers: func() []via.Peer { return []via.Peer{{Name: "p", Store: rows}} },
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				_, err := st.Commit(ctx, tx)
+				require.Equal(t, tc.commit, err == nil, "%v", err)
+				require.Equal(t, tc.commits, rows.Commits())
+				ctx, cancel = context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				_, err = st.List(ctx, table.Range{Table: "t"})
+				require.Equal(t, tc.list, err == nil, "%v", err)
+			})
+		})
+	}
+}
+
+// An entry that is parted from the store for seconds goes on through a peer
+// within two calls, and returns to the direct way by a watch's probe.
+func TestClosedWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := &fake.Rows{}
+		direct := &cut{Rows: rows, silent: true}
+		st := &via.Store{
+			Direct: direct, Clock: core.SystemClock{}, Logger: log.NewNopLogger(),
+			Peers: func() []via.Peer { return []via.Peer{{Name: "p", Store: rows}} },
+		}
+		commit := func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, err := st.Commit(ctx, tx)
+			return err
+		}
+		require.Error(t, commit())
+		require.Error(t, commit())
+		calls := direct.calls
+		require.NoError(t, commit(), "the third call goes through the peer")
+		require.Equal(t, calls, direct.calls)
+		_, err := st.Watch(context.Background(), "t", 0, time.Second)
+		require.True(t, errors.Is(err, table.ErrCompacted), "a closed way is listed again, not watched")
+		direct.silent = false
+		time.Sleep(via.ProbeEvery)
+		_, err = st.Watch(context.Background(), "t", 0, time.Second)
+		require.NoError(t, err)
+		require.NoError(t, commit())
+		require.Greater(t, direct.calls, calls+1, "the direct way is open again")
+	})
+}
+
+// The outcomes that callers decide on survive the way through a peer.
+func TestPeer(t *testing.T) {
+	rows := &fake.Rows{}
+	mux := http.NewServeMux()
+	mux.Handle(wireconnect.NewTableServiceHandler(via.Service{Direct: rows}))
+	se := httptest.NewServer(mux)
+	defer se.Close()
+	cl := via.NewClient(se.Client(), se.Listener.Addr().String())
+	ctx := context.Background()
+	id := table.ID{Table: "t", Part: "p", Key: "k"}
+	version, err := cl.Commit(ctx, table.Tx{Expect: []table.Expect{{ID: id}}, Puts: []table.Put{{ID: id, Value: []byte("v")}}})
+	require.NoError(t, err)
+	require.EqualValues(t, 1, version)
+	_, err = cl.Commit(ctx, table.Tx{Expect: []table.Expect{{ID: id}}, Puts: []table.Put{{ID: id}}})
+	require.True(t, errors.Is(err, table.ErrConflict))
+	page, err := cl.List(ctx, table.Range{Table: "t", Part: "p"})
+	require.NoError(t, err)
+	require.Equal(t, []table.Row{{ID: id, Value: []byte("v"), Version: 1}}, page.Rows)
+	rows.Set(fake.RowFaults{Refuse: true})
+	_, err = cl.Commit(ctx, tx)
+	require.True(t, errors.Is(err, table.ErrRefused))
+	rows.Set(fake.RowFaults{LoseAnswers: 1})
+	_, err = cl.Commit(ctx, tx)
+	require.Error(t, err)
+	require.False(t, errors.Is(err, table.ErrRefused), "a lost answer claims nothing")
+	require.False(t, errors.Is(err, table.ErrConflict))
+}
