--- a/calls/board.go
+++ b/calls/board.go
@@ -16,7 +16,8 @@
 	lastRest  = 4 * time.Second
 	// fullRest is how long a target that refused for lack of room is left out.
 	fullRest = 60 * time.Millisecond
-	// slowAnswer marks an answer after which a target counts as loaded more.
+	// nearLoad is the share of its slots up to which a target in the caller's own
+	// failure domain goes before others: bytes between domains are paid for.
 	nearLoad = 0.7
 	// answerMemory is the weight of a new answer time in the mean.
 	answerMemory = 0.2
@@ -141,13 +142,14 @@
 	if sc == nil {
 		return
 	}
+	then := sc.mine
 	sc.mine--
 	switch {
 	case ou.err == nil:
 		sc.failures = 0
 		sc.answer += time.Duration(answerMemory * float64(ou.took-sc.answer))
 		if ou.answer.Slots > 0 {
-			sc.reported, sc.mineThen = ou.answer.Running+ou.answer.Waiting, sc.mine
+			sc.reported, sc.mineThen = ou.answer.Running+ou.answer.Waiting, then // the answered request is still counted
 		}
 	case dropped:
 	case ou.err.Code == core.CodeFull:
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,42 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/fleet"
+)
+
+func ids(fl *fleet.Fleet) []string {
+	out := []string{}
+	for _, ta := range fl.All() {
+		out = append(out, ta.ID)
+	}
+	return out
+}
+
+// Targets that lapse while the registry is away stay usable until two seconds
+// after its return; those that are missing then are gone.
+func TestOutage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var fl fleet.Fleet
+	fl.Replace(now, []fleet.Target{{ID: "a"}, {ID: "b"}, {ID: "c"}})
+	require.True(t, fl.Drop(now, "c"), "with the registry there, it leaves at once")
+	require.Equal(t, []string{"a", "b"}, ids(&fl))
+
+	fl.Lost()
+	require.False(t, fl.Drop(now, "a"))
+	require.Empty(t, fl.Sweep(now.Add(time.Hour)))
+	now = now.Add(8 * time.Second)
+	fl.Back(now)
+	fl.Replace(now, nil)
+	require.Equal(t, []string{"a", "b"}, ids(&fl))
+	require.Empty(t, fl.Sweep(now.Add(fleet.Settle-time.Millisecond)))
+	fl.Put(fleet.Target{ID: "a"})
+	require.Equal(t, []string{"b"}, fl.Sweep(now.Add(fleet.Settle)))
+	require.Equal(t, []string{"a"}, ids(&fl))
+	require.True(t, fl.Drop(now.Add(fleet.Settle), "a"))
+	require.False(t, fl.Drop(now, "unknown"))
+}
--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,65 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/member"
+	"bilberryshelf/table"
+)
+
+func row(t *testing.T, node string, re member.Record) table.Row {
+	t.Helper()
+	raw, err := re.Encode()
+	require.NoError(t, err)
+	return table.Row{ID: member.ID(node), Value: raw}
+}
+
+func TestLiveness(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var vi member.View
+	put := func(node string, re member.Record) {
+		vi.Confirm(now)
+		require.NoError(t, vi.Put(now, row(t, node, re)))
+	}
+	put("n1", member.Record{Name: "n1/a", Beat: 1})
+	put("n2", member.Record{Name: "n2/a", Beat: 1})
+	require.False(t, vi.Dead(now, "n1/a"))
+	require.True(t, vi.Dead(now, ""), "a job that was released has no owner")
+	require.True(t, vi.Dead(now, "n3/a"))
+
+	now = now.Add(member.Expiry)
+	put("n2", member.Record{Name: "n2/a", Beat: 4})
+	now = now.Add(time.Millisecond)
+	put("n1", member.Record{Name: "n1/a", Beat: 1}) // told again, not renewed
+	require.True(t, vi.Dead(now, "n1/a"))
+	require.False(t, vi.Dead(now, "n2/a"))
+
+	put("n2", member.Record{Name: "n2/b", Beat: 1})
+	require.True(t, vi.Dead(now, "n2/a"), "an earlier start of the node")
+
+	now = now.Add(time.Minute)
+	require.False(t, vi.Dead(now, "n2/b"), "the rows are not fresh, so nobody is found dead")
+	require.Error(t, vi.Put(now, table.Row{ID: member.ID("n9"), Value: []byte("?")}))
+}
+
+// One entry adopts an orphan at once, the others in turn; weak and leaving ones
+// do not.
+func TestTurn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var vi member.View
+	vi.Confirm(now)
+	names := []string{"a", "b", "c", "d"}
+	for _, na := range names {
+		require.NoError(t, vi.Put(now, row(t, na, member.Record{Name: na, Weak: na == "c", Leaving: na == "d"})))
+	}
+	waits := map[time.Duration]int{}
+	for _, na := range names {
+		if wait, ok := vi.Turn(now, "job", na); ok {
+			waits[wait]++
+		}
+	}
+	require.Equal(t, map[time.Duration]int{0: 1, member.AdoptStep: 1}, waits)
+}
--- a/order/guard.go
+++ b/order/guard.go
@@ -36,6 +36,12 @@
 	Holder string `cbor:"2,keyasint,omitempty"`
 }
 
+// Encode turns a row into its value.
+func (ro Row) Encode() ([]byte, error) {
+	raw, err := cbor.Marshal(ro)
+	return raw, errors.Wrap(err, "encode the row of a guard")
+}
+
 // DecodeRow reads a row of Table. A dropped row is empty.
 func DecodeRow(ro table.Row) (Row, error) {
 	var re Row
@@ -224,7 +230,7 @@
 // claim writes the guard's row. The version of the first such write is the
 // fence of this start.
 func (gu *Guard) claim(ctx context.Context, home string) bool {
-	raw, err := cbor.Marshal(Row{Home: home})
+	raw, err := Row{Home: home}.Encode()
 	if err != nil {
 		level.Error(gu.Logger).Log("msg", "row not encoded", "err", err) //nolint:errcheck
 		return false
--- /dev/null
+++ b/order/order_test.go
@@ -0,0 +1,280 @@
+package order_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/conf"
+	"bilberryshelf/core"
+	"bilberryshelf/fake"
+	"bilberryshelf/fleet"
+	"bilberryshelf/meter"
+	"bilberryshelf/order"
+	"bilberryshelf/table"
+)
+
+func TestNext(t *testing.T) {
+	situation := func(loaded, named uint64, idle time.Duration, change func(si *order.Situation)) order.Situation {
+		si := order.Situation{
+			Self: "a", Home: "m", Named: map[string]uint64{"m": named}, IdleFor: idle,
+			Report: order.Report{Versions: map[string]uint64{"m": loaded}, Accepted: 4}, Engines: []order.Engine{{ID: "a", Home: "m"}, {ID: "b", Home: "m"}},
+		}
+		if change != nil {
+			change(&si)
+		}
+		return si
+	}
+	for _, tc := range []struct {
+		name string
+		si   order.Situation
+		due  bool
+		mode order.Mode
+	}{
+		{"up to date", situation(3, 3, time.Second, nil), false, ""},
+		{"idle", situation(2, 3, time.Second, nil), true, order.Wait},
+		{"at work, and the step permits its version", situation(2, 3, 0, nil), false, ""},
+		{"at work, and the step does not", situation(1, 3, 0, nil), true, order.Retain},
+		{"idle, but another one is in need", situation(2, 3, time.Second, func(si *order.Situation) { si.Engines[1].Needy = true }), false, ""},
+		{"an order is in progress", situation(1, 3, time.Second, func(si *order.Situation) { si.Report.Busy = true }), false, ""},
+		{"no home yet", situation(1, 3, time.Second, func(si *order.Situation) { si.Home = "" }), false, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			or, due := order.Next(tc.si)
+			require.Equal(t, tc.due, due)
+			if due {
+				require.Equal(t, tc.mode, or.Mode)
+				require.Equal(t, tc.si.Named["m"], or.Version)
+				require.EqualValues(t, 4, or.Accepted, "a late order meets another count")
+			}
+		})
+	}
+}
+
+func TestHome(t *testing.T) {
+	models := []string{"n", "m"}
+	engines := func(homes ...string) []order.Engine {
+		var out []order.Engine
+		for at, home := range homes {
+			out = append(out, order.Engine{ID: string(rune('a' + at)), Home: home})
+		}
+		return out
+	}
+	require.Equal(t, "m", order.Home(models, engines("", "", ""), "a", ""))
+	require.Equal(t, "n", order.Home(models, engines("", "", ""), "b", ""))
+	require.Empty(t, order.Home(models, engines(""), "z", ""), "not registered yet")
+	require.Empty(t, order.Home(nil, engines(""), "a", ""))
+	require.Equal(t, "m", order.Home(models, engines("m", "m", "n"), "b", "m"), "spread evenly")
+	require.Equal(t, "n", order.Home(models, engines("m", "m", "m", "n"), "c", "m"), "the last of the larger home moves")
+	require.Equal(t, "m", order.Home(models, engines("m", "m", "m", "n"), "b", "m"))
+	require.Equal(t, "m", order.Home(models, engines("m", "m", "m", ""), "c", "m"), "one has yet to choose")
+	require.Equal(t, "m", order.Home([]string{"m"}, engines("gone"), "a", "gone"), "a model that is gone")
+}
+
+// port is an engine that loads for a while.
+type port struct {
+	mutex    sync.Mutex
+	versions map[string]uint64
+	accepted uint64
+	busy     bool
+	running  int
+	orders   []order.Order
+	// lose leaves the next order unanswered and carries it out late.
+	lose int
+	load func(busy int)
+}
+
+func (po *port) Report(context.Context) (order.Report, error) {
+	po.mutex.Lock()
+	defer po.mutex.Unlock()
+	versions := map[string]uint64{}
+	for model, version := range po.versions {
+		versions[model] = version
+	}
+	return order.Report{Versions: versions, Busy: po.busy, Accepted: po.accepted, Running: po.running}, nil
+}
+
+func (po *port) Order(_ context.Context, or order.Order) (order.Reply, error) {
+	po.mutex.Lock()
+	defer po.mutex.Unlock()
+	po.orders = append(po.orders, or)
+	if po.lose > 0 {
+		po.lose--
+		time.AfterFunc(3*time.Second, func() { po.accept(or) })
+		return "", errors.New("no answer")
+	}
+	return po.begin(or), nil
+}
+
+func (po *port) accept(or order.Order) {
+	po.mutex.Lock()
+	defer po.mutex.Unlock()
+	po.begin(or)
+}
+
+func (po *port) begin(or order.Order) order.Reply {
+	if po.busy || or.Accepted != po.accepted {
+		return order.Conflict
+	}
+	po.accepted++
+	po.busy = true
+	po.load(1)
+	time.AfterFunc(900*time.Millisecond, func() {
+		po.mutex.Lock()
+		defer po.mutex.Unlock()
+		po.versions[or.Model], po.busy = or.Version, false
+		po.load(-1)
+	})
+	return order.Begun
+}
+
+// world is a service of engines with their guards.
+type world struct {
+	rows  *fake.Rows
+	ports []*port
+	mutex sync.Mutex
+	now   int
+	most  int
+}
+
+func (wo *world) load(change int) {
+	wo.mutex.Lock()
+	defer wo.mutex.Unlock()
+	wo.now += change
+	wo.most = max(wo.most, wo.now)
+}
+
+func addr(at int) string { return fmt.Sprintf("10.0.0.%02d:80", at) }
+
+func (wo *world) guard(at int) *order.Guard {
+	return &order.Guard{
+		Name: "node-" + addr(at), Addr: addr(at), Service: "lm", Port: wo.ports[at], Store: wo.rows,
+		Clock: core.SystemClock{}, Logger: log.NewNopLogger(), Meters: &meter.Set{}, OperatorTable: "op", TargetTable: "targets",
+		Config: func(ro table.Row) (*conf.Config, error) {
+			if ro.ID.Key != "config" {
+				return nil, nil
+			}
+			return conf.New(1, nil, []conf.Service{{Name: "lm", Models: []string{"m"}}}, conf.Limits{}), nil
+		},
+		Version: func(ro table.Row) (string, uint64, bool, error) {
+			return "m", uint64(ro.ID.Key[0] - '0'), ro.ID.Key != "config", nil
+		},
+		Target: func(ro table.Row) (fleet.Target, error) {
+			return fleet.Target{ID: ro.ID.Key, Addr: ro.ID.Key, Service: "lm", Slots: 12, Models: map[string]uint64{"m": 1}}, nil
+		},
+	}
+}
+
+func put(t *testing.T, rows *fake.Rows, name, key string) {
+	t.Helper()
+	_, err := rows.Commit(context.Background(), table.Tx{Puts: []table.Put{{ID: table.ID{Table: name, Key: key}}}})
+	require.NoError(t, err)
+}
+
+func start(t *testing.T, count int) (wo *world, stop func()) {
+	wo = &world{rows: &fake.Rows{}}
+	put(t, wo.rows, "op", "config")
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for at := range count {
+		put(t, wo.rows, "targets", addr(at))
+		wo.ports = append(wo.ports, &port{versions: map[string]uint64{"m": 1}, load: wo.load})
+	}
+	for at := range count {
+		gu := wo.guard(at)
+		group.Go(func() { gu.Run(ctx) })
+	}
+	return wo, func() { cancel(); group.Wait() }
+}
+
+// The load pattern: twelve engines are idle as a version is named. Together the
+// loads would take five times as long each.
+func TestLoadsTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo, stop := start(t, 12)
+		defer stop()
+		time.Sleep(2 * time.Second)
+		put(t, wo.rows, "op", "2")
+		time.Sleep(10 * time.Second)
+		for _, po := range wo.ports {
+			require.EqualValues(t, 2, po.versions["m"])
+			require.Len(t, po.orders, 1)
+		}
+		require.Equal(t, order.Slots(12), wo.most)
+	})
+}
+
+// A guard that is gone while its engine loads holds its slot only for a while.
+func TestSlotOfADeadGuard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo, stop := start(t, 4)
+		defer stop()
+		raw := order.Row{Holder: "dead"}
+		for at := range order.Slots(4) {
+			value, err := raw.Encode()
+			require.NoError(t, err)
+			id := table.ID{Table: order.Table, Key: fmt.Sprintf("slot/%d", at)}
+			_, err = wo.rows.Commit(context.Background(), table.Tx{Puts: []table.Put{{ID: id, Value: value}}})
+			require.NoError(t, err)
+		}
+		put(t, wo.rows, "op", "2")
+		time.Sleep(9 * time.Second)
+		for _, po := range wo.ports {
+			require.EqualValues(t, 2, po.versions["m"])
+		}
+	})
+}
+
+// An order whose answer is lost is given again with the same count, so that the
+// late one does nothing. Fences rise across restarts.
+func TestLateOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo, stop := start(t, 1)
+		wo.ports[0].lose = 1
+		put(t, wo.rows, "op", "2")
+		time.Sleep(10 * time.Second)
+		stop()
+		po := wo.ports[0]
+		require.EqualValues(t, 2, po.versions["m"])
+		require.EqualValues(t, 1, po.accepted, "the late order met another count")
+		first := po.orders[0].Fence
+		require.NotZero(t, first)
+
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		gu := wo.guard(0)
+		go func() { defer close(done); gu.Run(ctx) }()
+		put(t, wo.rows, "op", "3")
+		time.Sleep(5 * time.Second)
+		cancel()
+		<-done
+		require.Greater(t, po.orders[len(po.orders)-1].Fence, first)
+	})
+}
+
+// While the store is away nothing is ordered without need, and an engine that
+// serves nothing loads without a slot.
+func TestStoreAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo, stop := start(t, 2)
+		defer stop()
+		time.Sleep(time.Second)
+		wo.ports[0].running = 1
+		wo.ports[1].running = 1
+		put(t, wo.rows, "op", "3")
+		time.Sleep(50 * time.Millisecond)
+		wo.rows.Set(fake.RowFaults{Refuse: true})
+		time.Sleep(5 * time.Second)
+		for _, po := range wo.ports {
+			require.EqualValues(t, 3, po.versions["m"])
+			require.Equal(t, order.Retain, po.orders[0].Mode)
+		}
+	})
+}
--- a/order/slot.go
+++ b/order/slot.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log/level"
 
 	"bilberryshelf/core"
@@ -100,9 +99,9 @@
 }
 
 func (gu *Guard) writeSlot(ctx context.Context, key, holder string, expect uint64) (uint64, error) {
-	raw, err := cbor.Marshal(Row{Holder: holder})
+	raw, err := Row{Holder: holder}.Encode()
 	if err != nil {
-		return 0, errors.Wrap(err, "encode a slot")
+		return 0, err
 	}
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- /dev/null
+++ b/place/place_test.go
@@ -0,0 +1,101 @@
+package place_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/place"
+)
+
+func TestChoose(t *testing.T) {
+	with := func(change func(es []place.Engine)) []place.Engine {
+		es := engines(4)
+		change(es)
+		return es
+	}
+	for _, tc := range []struct {
+		name    string
+		engines []place.Engine
+		item    place.Item
+		want    int
+	}{
+		{"the emptiest", with(func(es []place.Engine) { es[0].Running, es[1].Running, es[2].Running = 3, 2, 4 }), place.Item{}, 3},
+		{"one that read the prompt", with(func(es []place.Engine) { es[2].Running, es[2].Groups = 2, map[string]int{"g": 1} }), place.Item{Group: "g"}, 2},
+		{"unless it is much fuller", with(func(es []place.Engine) { es[2].Running, es[2].Groups = 9, map[string]int{"g": 1} }), place.Item{Group: "g"}, 0},
+		{"not the slow one", with(func(es []place.Engine) {
+			es[0].Pace = 3 * pace
+			es[1].Running, es[2].Running, es[3].Running = 5, 5, 4
+		}), place.Item{}, 3},
+		{"a slow one is not taken while a good one is only full", with(func(es []place.Engine) {
+			es[0].Pace = 3 * pace
+			es[1].Running, es[2].Running, es[3].Running = 12, 12, 12
+		}), place.Item{}, -1},
+		{"a slow one serves when no other can", with(func(es []place.Engine) {
+			es[0].Pace = 3 * pace
+			es[1].Resting, es[2].Version, es[3].Loading = true, 0, true
+		}), place.Item{Oldest: 1}, 0},
+		{"no older weights", with(func(es []place.Engine) { es[3].Version = 2 }), place.Item{Oldest: 2}, 3},
+		{"not the one that was left", with(func(es []place.Engine) { es[1].Running, es[2].Running, es[3].Running = 2, 1, 3 }), place.Item{Avoid: "A"}, 2},
+		{"one probe at a time", with(func(es []place.Engine) {
+			es[0].Probing, es[0].Unproven = true, 1
+			es[1].Running, es[2].Running, es[3].Running = 2, 1, 3
+		}), place.Item{}, 2},
+		{"none that is emptied", with(func(es []place.Engine) {
+			es[0].Emptying = true
+			es[1].Running, es[2].Running, es[3].Running = 2, 1, 3
+		}), place.Item{}, 2},
+		{"no engine", nil, place.Item{}, -1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			require.Equal(t, tc.want, place.Choose(tc.engines, tc.item, "d"))
+		})
+	}
+}
+
+func TestOrder(t *testing.T) {
+	queue := []place.Item{{Index: 0, Size: 5}, {Index: 1, Size: 90}, {Index: 2, Size: 1, Sure: true}, {Index: 3, Size: 90, Group: "a"}}
+	place.Order(queue)
+	var order []int
+	for _, it := range queue {
+		order = append(order, it.Index)
+	}
+	require.Equal(t, []int{2, 1, 3, 0}, order)
+}
+
+func TestLeave(t *testing.T) {
+	es := engines(3)
+	run := place.Run{Engine: "A", Oldest: 1, Started: true}
+	require.False(t, place.Leave(es, run))
+	run.Silent = place.Stall + time.Millisecond
+	require.True(t, place.Leave(es, run))
+	run.Started = false
+	require.False(t, place.Leave(es, run), "before the first event an engine has longer")
+	run.Silent, run.Started = 0, true
+	es[0].Emptying = true
+	require.True(t, place.Leave(es, run))
+	es[1].Running, es[2].Running = 12, 12
+	require.False(t, place.Leave(es, run), "there is no room elsewhere")
+}
+
+// Engines are emptied a few at a time, while the others have room.
+func TestEmpty(t *testing.T) {
+	es := engines(8)
+	for at := range es {
+		es[at].Home, es[at].Running = "m", at
+	}
+	require.Equal(t, []int{0, 1}, place.Empty(es, "m", 1, 2))
+	require.Empty(t, place.Empty(es, "m", 1, 1), "none is behind")
+	require.Empty(t, place.Empty(es, "n", 1, 2), "they serve another model")
+	require.Empty(t, place.Empty(es, "m", 2, 2), "none serves the step, so none is missed")
+	es[5].Loading = true
+	require.Equal(t, []int{0}, place.Empty(es, "m", 1, 2))
+	es[6].Emptying = true
+	require.Empty(t, place.Empty(es, "m", 1, 2))
+	full := engines(8)
+	for at := range full {
+		full[at].Home, full[at].Running = "m", 12
+	}
+	require.Empty(t, place.Empty(full, "m", 1, 2), "the others have no room")
+}
