member, runs, intake: an outage of the store is no death of the entries; targets told early are kept

Both found by the tests of intake, which run two or three entries over one stand-in of the store in virtual time. After an outage the rows of all entries were older than their expiry as soon as they were read again, so jobs changed owner and began anew (TestStoreOutage). An entry whose targets were told before its loop ran knew none until the next change (TestWholeJob).

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -68,6 +68,7 @@
 	config  atomic.Pointer[conf.Config]
 	ready   atomic.Bool
 	leaving atomic.Bool
+	ctx     context.Context
 	stop    context.CancelFunc
 	done    chan struct{}
 
@@ -95,6 +96,7 @@
 		decoders: de, index: batch.NewIndex(lg), board: &calls.Board{}, loop: core.NewLoop(), dial: po.Dial,
 		done: make(chan struct{}), malformed: map[string]uint64{}, orphans: map[string]time.Time{}, dials: map[string]table.Caller{},
 	}
+	en.ctx, en.stop = context.WithCancel(context.Background())
 	en.store = &via.Store{Direct: po.Direct, Peers: en.peers, Clock: clock, Logger: lg}
 	en.ledger = batch.Ledger{Store: en.store}
 	en.caller = &calls.Caller{
@@ -104,14 +106,14 @@
 		Name: en.name, Domain: se.Domain, Ledger: en.ledger, Index: en.index, Engine: po.Engine, Scorer: en,
 		Current: func() runs.Config { return en.config.Load() }, Clock: clock, Logger: lg, Meters: me, Loop: en.loop,
 	}
+	en.owner.Init(en.ctx)
 	return en
 }
 
 // Run serves until Stop.
 func (en *Entry) Run() error {
 	defer close(en.done)
-	ctx, cancel := context.WithCancel(context.Background())
-	en.stop = cancel
+	ctx := en.ctx
 	var group sync.WaitGroup
 	group.Go(func() { en.loop.Run(ctx.Done()) })
 	group.Go(func() { en.owner.Run(ctx) })
--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,227 @@
+package intake_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/batch"
+	"bilberryshelf/core"
+	"bilberryshelf/fake"
+	"bilberryshelf/runs"
+)
+
+func TestWholeJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo := newWorld(t, 2)
+		defer wo.stop()
+		jo := job("j1", 12)
+		require.Nil(t, wo.submit(0, jo))
+		require.Nil(t, wo.submit(1, jo), "the same job again, at another entry")
+		time.Sleep(6 * time.Second)
+		wo.whole(0, jo)
+		wo.whole(1, jo)
+		body, err := wo.entries[1].Body(context.Background(), "j1", "j1-i3")
+		require.Nil(t, err)
+		require.Equal(t, jo.Items[3].Body, body)
+	})
+}
+
+// A read waits for a result, and an early one comes as soon as it is listed.
+func TestReadWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo := newWorld(t, 2)
+		defer wo.stop()
+		require.Nil(t, wo.submit(0, job("j1", 3)))
+		began := time.Now()
+		li, err := wo.entries[1].Results(context.Background(), "j1", 0, 5*time.Second)
+		require.Nil(t, err)
+		require.NotEmpty(t, li.Results)
+		require.Less(t, time.Since(began), time.Second)
+		_, err = wo.entries[1].Results(context.Background(), "j2", 0, 0)
+		require.NotNil(t, err)
+		require.Equal(t, core.CodeUnknownJob, err.Code)
+	})
+}
+
+// The owner dies, freezes or is parted from the store; the job goes on, and
+// what was listed stays.
+func TestOwnerLost(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		do   func(wo *world)
+		mend func(wo *world)
+	}{
+		{"killed", func(wo *world) { wo.entries[0].Kill() }, nil},
+		{"killed and started again", func(wo *world) { wo.entries[0].Kill(); wo.start(0) }, nil},
+		{"parted from the store", func(wo *world) { wo.links[0].set(true) }, func(wo *world) { wo.links[0].set(false) }},
+		{"stopped as planned", func(wo *world) { go wo.entries[0].Stop() }, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				wo := newWorld(t, 3)
+				defer wo.stop()
+				jo := job("j1", 12)
+				require.Nil(t, wo.submit(0, jo))
+				time.Sleep(900 * time.Millisecond)
+				before := wo.read(1, "j1")
+				require.NotEmpty(t, before)
+				tc.do(wo)
+				time.Sleep(10 * time.Second)
+				if tc.mend != nil {
+					tc.mend(wo)
+					time.Sleep(5 * time.Second)
+				}
+				wo.engines.doubled = 0 // a former owner may still run what it has
+				wo.whole(1, jo)
+				require.Equal(t, before, wo.read(2, "j1")[:len(before)])
+			})
+		})
+	}
+}
+
+// During an outage work goes on, nothing is listed, submissions are refused
+// truthfully, and all is listed at its end.
+func TestStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo := newWorld(t, 2)
+		defer wo.stop()
+		jo := job("j1", 12)
+		require.Nil(t, wo.submit(0, jo))
+		time.Sleep(300 * time.Millisecond)
+		wo.rows.Set(fake.RowFaults{Refuse: true})
+		commits := wo.rows.Commits()
+		time.Sleep(8 * time.Second)
+		err := wo.submit(1, job("j2", 1))
+		require.NotNil(t, err)
+		require.Equal(t, core.NotRun, err.Verdict)
+		require.Positive(t, err.RetryAfter)
+		require.Equal(t, commits, wo.rows.Commits())
+		wo.rows.Set(fake.RowFaults{})
+		time.Sleep(time.Second)
+		wo.whole(1, jo)
+		require.Zero(t, wo.engines.runs["j2-i0"], "it was refused")
+	})
+}
+
+// A submission whose answer is lost is no refusal: the job may be kept.
+func TestSubmissionInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo := newWorld(t, 2)
+		defer wo.stop()
+		jo := job("j1", 3)
+		wo.rows.Set(fake.RowFaults{LateWrites: 1, Late: 2 * time.Second})
+		err := wo.submit(0, jo)
+		if err != nil {
+			require.Equal(t, core.MayHaveRun, err.Verdict)
+		}
+		time.Sleep(8 * time.Second)
+		wo.whole(1, jo)
+	})
+}
+
+// An ended job takes no more results, and its items stop within the bound.
+func TestEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo := newWorld(t, 2)
+		defer wo.stop()
+		require.Nil(t, wo.submit(0, job("j1", 12)))
+		time.Sleep(500 * time.Millisecond)
+		require.Nil(t, wo.entries[1].End(context.Background(), "j1"))
+		require.Nil(t, wo.entries[0].End(context.Background(), "j1"), "again")
+		time.Sleep(time.Second)
+		listed := len(wo.read(0, "j1"))
+		for id, count := range wo.engines.running {
+			require.Zero(t, count, id)
+		}
+		time.Sleep(5 * time.Second)
+		require.Len(t, wo.read(1, "j1"), listed)
+	})
+}
+
+// What was generated for an item that was not listed serves the next job.
+func TestPartialTexts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo := newWorld(t, 2)
+		defer wo.stop()
+		first := job("j1", 12)
+		require.Nil(t, wo.submit(0, first))
+		time.Sleep(1500 * time.Millisecond) // long items have some 35 of 60 events
+		require.Nil(t, wo.entries[0].End(context.Background(), "j1"))
+		time.Sleep(time.Second)
+		second := job("j2", 0)
+		for _, it := range first.Items {
+			if length(it.ID) > 30 {
+				second.Items = append(second.Items, it)
+			}
+		}
+		require.Nil(t, wo.submit(1, second))
+		time.Sleep(1500 * time.Millisecond)
+		wo.whole(0, second)
+	})
+}
+
+// Items that cannot be done are errored after the tries that the route permits,
+// and never before.
+func TestErrored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo := newWorld(t, 1)
+		defer wo.stop()
+		jo := job("j1", 3)
+		wo.engines.fail["j1-i0"] = runs.Failed
+		wo.engines.fail["j1-i1"] = runs.Never
+		wo.desk.failing["s-j1-i2"] = true
+		require.Nil(t, wo.submit(0, jo))
+		time.Sleep(10 * time.Second)
+		states := map[string]batch.State{}
+		for _, re := range wo.read(0, "j1") {
+			states[re.ID] = re.State
+		}
+		require.Len(t, states, 12)
+		require.Equal(t, batch.Errored, states["j1-i0"])
+		require.Equal(t, batch.Errored, states["j1-i1"])
+		require.Equal(t, batch.Errored, states["j1-i2"])
+		require.Equal(t, batch.Completed, states["j1-i3"])
+		require.Equal(t, route.Attempts, wo.engines.runs["j1-i0"])
+		require.Equal(t, 1, wo.engines.runs["j1-i1"])
+		require.Equal(t, 4, wo.desk.calls["s-j1-i2"])
+	})
+}
+
+// The load pattern: an engine falls silent in the middle of a step. Its runs go
+// on elsewhere behind their last event.
+func TestReplayDarkEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo := newWorld(t, 1)
+		defer wo.stop()
+		jo := job("j1", 6)
+		require.Nil(t, wo.submit(0, jo))
+		time.Sleep(500 * time.Millisecond)
+		wo.engines.mutex.Lock()
+		wo.engines.dark["lm1"] = true
+		wo.engines.mutex.Unlock()
+		time.Sleep(4 * time.Second)
+		wo.whole(0, jo)
+	})
+}
+
+// No event of a version that is too old for the job is listed.
+func TestOldVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo := newWorld(t, 1)
+		defer wo.stop()
+		wo.engines.version = 0 // the registry told version 1
+		jo := job("j1", 2)
+		require.Nil(t, wo.submit(0, jo))
+		time.Sleep(5 * time.Second)
+		require.Empty(t, wo.read(0, "j1"))
+		wo.engines.mutex.Lock()
+		wo.engines.version = 1
+		wo.engines.mutex.Unlock()
+		time.Sleep(6 * time.Second)
+		wo.whole(0, jo)
+	})
+}
--- a/intake/stop.go
+++ b/intake/stop.go
@@ -48,3 +48,6 @@
 	en.stop()
 	level.Info(en.logger).Log("msg", "stopped", "after", elapsed()) //nolint:errcheck
 }
+
+// Kill ends the entry at once, as a lost process would.
+func (en *Entry) Kill() { en.stop() }
--- /dev/null
+++ b/intake/world_test.go
@@ -0,0 +1,306 @@
+package intake_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/batch"
+	"bilberryshelf/calls"
+	"bilberryshelf/conf"
+	"bilberryshelf/core"
+	"bilberryshelf/fake"
+	"bilberryshelf/fleet"
+	"bilberryshelf/intake"
+	"bilberryshelf/meter"
+	"bilberryshelf/runs"
+	"bilberryshelf/table"
+)
+
+const (
+	operatorTable = "operator"
+	targetTable   = "targets"
+	eventPace     = 40 * time.Millisecond
+)
+
+// engines runs items in virtual time and records what reached them.
+type engines struct {
+	mutex   sync.Mutex
+	version uint64
+	runs    map[string]int
+	// tries counts runs of an item by what came of them.
+	fail map[string]runs.Ending
+	dark map[string]bool
+	// running counts the runs of each item that go on at the moment.
+	running map[string]int
+	doubled int
+}
+
+// length is how many events an item has; some are long.
+func length(id string) int {
+	sum := 0
+	for _, ch := range id {
+		sum = sum*31 + int(ch)
+	}
+	if sum%7 == 0 {
+		return 60
+	}
+	return 5 + sum%10
+}
+
+func text(id string) string {
+	var lines []string
+	for at := 1; at <= length(id); at++ {
+		lines = append(lines, fmt.Sprintf("%s-%d", id, at))
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (en *engines) Run(ctx context.Context, ta fleet.Target, se runs.Send, event func(runs.Event)) runs.Outcome {
+	id := se.Item.ID
+	en.mutex.Lock()
+	en.runs[id]++
+	en.running[id]++
+	if en.running[id] > 1 {
+		en.doubled++
+	}
+	version, ending := en.version, en.fail[id]
+	en.mutex.Unlock()
+	defer func() {
+		en.mutex.Lock()
+		defer en.mutex.Unlock()
+		en.running[id]--
+	}()
+	if ending != "" {
+		return runs.Outcome{Ending: ending, Text: "told to"}
+	}
+	for at := se.After + 1; at <= length(id); at++ {
+		en.mutex.Lock()
+		dark := en.dark[ta.ID]
+		en.mutex.Unlock()
+		pause := time.After(eventPace)
+		if dark {
+			pause = nil
+		}
+		select {
+		case <-ctx.Done():
+			return runs.Outcome{Ending: runs.Cut, Text: "left"}
+		case <-pause:
+			event(runs.Event{Data: fmt.Sprintf("%s-%d", id, at), Version: version})
+		}
+	}
+	return runs.Outcome{Ending: runs.Whole}
+}
+
+// desk answers plain requests and scoring calls.
+type desk struct {
+	mutex sync.Mutex
+	// failing scoring calls always get an error.
+	failing map[string]bool
+	calls   map[string]int
+}
+
+func (de *desk) Send(_ context.Context, _ fleet.Target, re calls.Request) (calls.Answer, error) {
+	time.Sleep(10 * time.Millisecond) // not under the lock, which would hold up virtual time
+	de.mutex.Lock()
+	defer de.mutex.Unlock()
+	de.calls[re.ID]++
+	if de.failing[re.ID] {
+		return calls.Answer{Status: http.StatusInternalServerError, Stamp: "failed"}, nil
+	}
+	return calls.Answer{Status: http.StatusOK, Stamp: "score-" + re.ID}, nil
+}
+
+// link is an entry's way to the store; it can be cut.
+type link struct {
+	*fake.Rows
+	mutex sync.Mutex
+	cut   bool
+}
+
+func (li *link) set(cut bool) {
+	li.mutex.Lock()
+	defer li.mutex.Unlock()
+	li.cut = cut
+}
+
+func (li *link) meet(ctx context.Context) error {
+	li.mutex.Lock()
+	cut := li.cut
+	li.mutex.Unlock()
+	if cut {
+		<-ctx.Done()
+	}
+	return ctx.Err()
+}
+
+func (li *link) Commit(ctx context.Context, tx table.Tx) (uint64, error) {
+	if err := li.meet(ctx); err != nil {
+		return 0, err
+	}
+	return li.Rows.Commit(ctx, tx)
+}
+
+func (li *link) List(ctx context.Context, ra table.Range) (table.Page, error) {
+	if err := li.meet(ctx); err != nil {
+		return table.Page{}, err
+	}
+	return li.Rows.List(ctx, ra)
+}
+
+func (li *link) Watch(ctx context.Context, name string, after uint64, wait time.Duration) (table.Page, error) {
+	if err := li.meet(ctx); err != nil {
+		return table.Page{}, err
+	}
+	return li.Rows.Watch(ctx, name, after, wait)
+}
+
+// world is a few entries over one store.
+type world struct {
+	t       *testing.T
+	rows    *fake.Rows
+	engines *engines
+	desk    *desk
+	entries []*intake.Entry
+	links   []*link
+	ended   []chan struct{}
+}
+
+var route = conf.Route{
+	Name: "train", Host: "h", Prefix: "/train/", Kind: conf.Rollout, Shares: []conf.Share{{Service: "lm", Weight: 1}},
+	Due: 7500 * time.Millisecond, GiveUp: 40 * time.Second, Attempts: 3,
+}
+
+func config() *conf.Config {
+	return conf.New(1, []conf.Route{route, {
+		Name: "score", Host: "h", Prefix: "/score/", Kind: conf.Idempotent, Shares: []conf.Share{{Service: "desk", Weight: 1}},
+		Objective: 300 * time.Millisecond, Attempts: 4,
+	}}, nil, conf.Limits{})
+}
+
+// decoders read the rows of this test: a key names what the row holds.
+func decoders() intake.Decoders {
+	return intake.Decoders{
+		OperatorTable: operatorTable, TargetTable: targetTable,
+		Config: func(ro table.Row) (*conf.Config, error) {
+			if ro.ID.Key != "config" {
+				return nil, nil
+			}
+			return config(), nil
+		},
+		Version: func(table.Row) (string, uint64, bool, error) { return "", 0, false, nil },
+		Target: func(ro table.Row) (fleet.Target, error) {
+			ta := fleet.Target{ID: ro.ID.Key, Addr: ro.ID.Key, Slots: 12, Service: "desk"}
+			if strings.HasPrefix(ro.ID.Key, "lm") {
+				ta.Service, ta.Models = "lm", map[string]uint64{"m": 1}
+			}
+			return ta, nil
+		},
+	}
+}
+
+func newWorld(t *testing.T, entries int) *world {
+	t.Helper()
+	wo := &world{
+		t: t, rows: &fake.Rows{}, desk: &desk{failing: map[string]bool{}, calls: map[string]int{}},
+		engines: &engines{version: 1, runs: map[string]int{}, running: map[string]int{}, fail: map[string]runs.Ending{}, dark: map[string]bool{}},
+	}
+	wo.put(operatorTable, "config")
+	for _, id := range []string{"lm1", "lm2", "lm3", "desk1", "desk2"} {
+		wo.put(targetTable, id)
+	}
+	for at := range entries {
+		wo.start(at)
+	}
+	time.Sleep(2 * time.Second)
+	return wo
+}
+
+func (wo *world) put(name, key string) {
+	_, err := wo.rows.Commit(context.Background(), table.Tx{Puts: []table.Put{{ID: table.ID{Table: name, Key: key}}}})
+	require.NoError(wo.t, err)
+}
+
+// start runs an entry on a node, anew if there was one.
+func (wo *world) start(node int) {
+	li := &link{Rows: wo.rows}
+	en := intake.New(
+		intake.Settings{Node: "n" + strconv.Itoa(node), Domain: "d", Inner: "n" + strconv.Itoa(node), Grace: 8 * time.Second},
+		intake.Ports{Direct: li, Sender: wo.desk, Engine: wo.engines, Dial: func(string) table.Caller { return wo.rows }},
+		decoders(), core.SystemClock{}, log.NewNopLogger(), &meter.Set{},
+	)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		require.NoError(wo.t, en.Run())
+	}()
+	if node < len(wo.entries) {
+		wo.entries[node], wo.links[node], wo.ended[node] = en, li, ended
+		return
+	}
+	wo.entries, wo.links, wo.ended = append(wo.entries, en), append(wo.links, li), append(wo.ended, ended)
+}
+
+// stop ends all entries.
+func (wo *world) stop() {
+	var group sync.WaitGroup
+	for at, en := range wo.entries {
+		group.Go(func() {
+			en.Kill()
+			<-wo.ended[at]
+		})
+	}
+	group.Wait()
+}
+
+func job(id string, groups int) *batch.Job {
+	jo := &batch.Job{ID: id, Host: "h", Path: "/train/x", Model: "m", Oldest: 1, Groups: groups}
+	for at := range groups * 4 {
+		it := fmt.Sprintf("%s-i%d", id, at)
+		jo.Items = append(jo.Items, batch.Item{
+			ID: it, Path: "/train/i", Group: strconv.Itoa(at / 4), Hint: length(it),
+			Scorer: &batch.Scorer{ID: "s-" + it, Host: "h", Path: "/score/x"},
+		})
+	}
+	return jo
+}
+
+func (wo *world) submit(node int, jo *batch.Job) *core.Error {
+	return wo.entries[node].Submit(context.Background(), jo, route)
+}
+
+// read returns all that is listed of a job at a node.
+func (wo *world) read(node int, id string) []batch.Result {
+	var all []batch.Result
+	for {
+		li, err := wo.entries[node].Results(context.Background(), id, len(all), 0)
+		if err != nil || len(li.Results) == 0 {
+			return all
+		}
+		all = append(all, li.Results...)
+	}
+}
+
+// whole checks that a job is listed whole, each item once, with its own text.
+func (wo *world) whole(node int, jo *batch.Job) {
+	wo.t.Helper()
+	results := wo.read(node, jo.ID)
+	require.Len(wo.t, results, len(jo.Items))
+	seen := map[string]bool{}
+	for _, re := range results {
+		require.False(wo.t, seen[re.ID], "%s stands twice", re.ID)
+		seen[re.ID] = true
+		require.Equal(wo.t, batch.Completed, re.State)
+		require.Equal(wo.t, text(re.ID), re.Text)
+		require.Equal(wo.t, "score-s-"+re.ID, re.Score)
+	}
+	require.Zero(wo.t, wo.engines.doubled, "no item ran at two engines at once")
+}
--- a/member/member.go
+++ b/member/member.go
@@ -5,7 +5,8 @@
 //     an earlier start of the same node is another entry, and known to be dead.
 //  2. An entry lives while its row changed within Expiry, as seen here. Nobody
 //     else's clock is asked.
-//  3. While the rows are not fresh, nobody is found dead.
+//  3. While the rows are not fresh, nobody is found dead; and once they are fresh
+//     again, each entry has Expiry to renew its row.
 //  4. An orphan is adopted by the live entry with the highest rendezvous weight;
 //     each further one waits AdoptStep longer, so that one that does not act is
 //     passed over.
@@ -65,6 +66,8 @@
 type View struct {
 	byNode map[string]seen
 	fresh  time.Time
+	// again is when the rows became fresh after they had not been.
+	again time.Time
 }
 
 // Put takes a row; a value that cannot be decoded is an error and is ignored.
@@ -88,13 +91,18 @@
 }
 
 // Confirm records that the rows were complete at a moment.
-func (vi *View) Confirm(now time.Time) { vi.fresh = now }
+func (vi *View) Confirm(now time.Time) {
+	if !vi.certain(now) {
+		vi.again = now
+	}
+	vi.fresh = now
+}
 
 // Live lists the entries that are alive, by name.
 func (vi *View) Live(now time.Time) []Record {
 	var live []Record
 	for _, se := range vi.byNode {
-		if now.Sub(se.at) <= Expiry || !vi.certain(now) {
+		if now.Sub(se.at) <= Expiry || now.Sub(vi.again) <= Expiry || !vi.certain(now) {
 			live = append(live, se.record)
 		}
 	}
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -30,7 +30,9 @@
 	require.True(t, vi.Dead(now, ""), "a job that was released has no owner")
 	require.True(t, vi.Dead(now, "n3/a"))
 
-	now = now.Add(member.Expiry)
+	now = now.Add(member.Expiry / 2)
+	vi.Confirm(now)
+	now = now.Add(member.Expiry / 2)
 	put("n2", member.Record{Name: "n2/a", Beat: 4})
 	now = now.Add(time.Millisecond)
 	put("n1", member.Record{Name: "n1/a", Beat: 1}) // told again, not renewed
@@ -42,6 +44,12 @@
 
 	now = now.Add(time.Minute)
 	require.False(t, vi.Dead(now, "n2/b"), "the rows are not fresh, so nobody is found dead")
+	vi.Confirm(now)
+	require.False(t, vi.Dead(now, "n2/b"), "after an outage it has time to renew")
+	now = now.Add(member.Expiry)
+	vi.Confirm(now)
+	require.False(t, vi.Dead(now, "n2/b"))
+	require.True(t, vi.Dead(now.Add(time.Millisecond), "n2/b"))
 	require.Error(t, vi.Put(now, table.Row{ID: member.ID("n9"), Value: []byte("?")}))
 }
 
--- a/runs/engine.go
+++ b/runs/engine.go
@@ -69,9 +69,6 @@
 // Update takes the targets as the registry knows them now.
 func (ow *Owner) Update(all []fleet.Target) {
 	ow.Loop.Post(func() {
-		if ow.engines == nil {
-			return
-		}
 		listed := map[string]bool{}
 		for _, ta := range all {
 			if len(ta.Models) == 0 {
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -79,7 +79,7 @@
 }
 
 // Owner runs the jobs that this entry owns. Set the exported fields, then call
-// Run.
+// Init and Run.
 type Owner struct {
 	Name    string
 	Domain  string
@@ -135,14 +135,17 @@
 	partialsWait = 400 * time.Millisecond
 )
 
-// Run serves the loop's state until the context ends.
+// Init makes the owner ready; runs end with the context. What is told before
+// Run is kept.
+func (ow *Owner) Init(ctx context.Context) {
+	ow.ctx = ctx
+	ow.jobs, ow.engines = map[string]*job{}, map[string]*engine{}
+	ow.memory, ow.named = map[string]map[string]batch.Partial{}, map[string]uint64{}
+	ow.homes, ow.loads = map[string]string{}, map[string]load{}
+}
+
+// Run does the checks that no event triggers until the context ends.
 func (ow *Owner) Run(ctx context.Context) {
-	ow.Loop.Do(func() {
-		ow.ctx = ctx
-		ow.jobs, ow.engines = map[string]*job{}, map[string]*engine{}
-		ow.memory, ow.named = map[string]map[string]batch.Partial{}, map[string]uint64{}
-		ow.homes, ow.loads = map[string]string{}, map[string]load{}
-	})
 	for {
 		select {
 		case <-ctx.Done():
@@ -174,9 +177,7 @@
 // Named records the version of a model that its trainer named.
 func (ow *Owner) Named(model string, version uint64) {
 	ow.Loop.Post(func() {
-		if ow.named != nil {
-			ow.named[model] = max(ow.named[model], version)
-		}
+		ow.named[model] = max(ow.named[model], version)
 	})
 }
 
@@ -261,20 +262,14 @@
 
 // Home records which model an engine serves.
 func (ow *Owner) Home(addr, model string) {
-	ow.Loop.Post(func() {
-		if ow.homes != nil {
-			ow.homes[addr] = model
-		}
-	})
+	ow.Loop.Post(func() { ow.homes[addr] = model })
 }
 
 // Loading records which engine loads under a slot; an empty address frees it.
 func (ow *Owner) Loading(slot, addr string) {
 	ow.Loop.Post(func() {
-		if ow.loads != nil {
-			ow.loads[slot] = load{addr: addr, at: ow.Clock.Now()}
-			ow.place()
-		}
+		ow.loads[slot] = load{addr: addr, at: ow.Clock.Now()}
+		ow.place()
 	})
 }
 
