--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -186,26 +187,54 @@
 	return err
 }
 
-// SavePartials keeps partial texts for a later job of the same route.
-func (le Ledger) SavePartials(ctx context.Context, route string, partials []Partial) error {
-	var puts []table.Put
+// SavePartials keeps partial texts for another owner or a later job of the same
+// route, and drops the rows that they lay in before. It returns where each lies.
+func (le Ledger) SavePartials(ctx context.Context, route string, partials []Partial) (map[string][]table.ID, error) {
+	lies := map[string][]table.ID{}
+	var (
+		puts  []table.Put
+		drops []table.ID
+	)
 	for _, pa := range partials {
-		puts = append(puts, PartialPuts(route, pa)...)
+		fresh := PartialPuts(route, pa)
+		for _, pu := range fresh {
+			lies[pa.ID] = append(lies[pa.ID], pu.ID)
+		}
+		for _, id := range pa.Rows {
+			if !slices.Contains(lies[pa.ID], id) {
+				drops = append(drops, id)
+			}
+		}
+		puts = append(puts, fresh...)
 	}
 	if len(puts) == 0 {
-		return nil
+		return lies, nil
 	}
 	for _, group := range Groups(puts) {
 		if err := le.write(ctx, table.Tx{Puts: group}); err != nil {
-			return errors.Wrap(err, "save partial texts")
+			return lies, errors.Wrap(err, "save partial texts")
+		}
+	}
+	return lies, le.DropRows(ctx, drops)
+}
+
+// DropRows drops rows of partial texts that are no longer of use.
+func (le Ledger) DropRows(ctx context.Context, ids []table.ID) error {
+	for from := 0; from < len(ids); from += txRows {
+		if err := le.write(ctx, table.Tx{Drops: ids[from:min(from+txRows, len(ids))]}); err != nil {
+			return errors.Wrap(err, "drop partial texts")
 		}
 	}
 	return nil
 }
 
-// TakePartials reads the partial texts of a route, and drops them from the
-// store.
-func (le Ledger) TakePartials(ctx context.Context, route string) (map[string]Partial, error) {
+// staleSteps is after how many steps a text that no job asked for is dropped.
+// Items that were not complete come again in the next steps, if at all.
+const staleSteps = 3
+
+// Partials reads the partial texts of a route that a job of a step wants. Texts
+// of steps long ago that it does not want are dropped.
+func (le Ledger) Partials(ctx context.Context, route string, step int, wants func(item string) bool) (map[string]Partial, error) {
 	call, cancel := le.bound(ctx)
 	defer cancel()
 	page, err := table.ListAll(call, le.Store, table.Range{Table: PartialTable, Part: route})
@@ -216,14 +245,15 @@
 	if err != nil {
 		return nil, err
 	}
-	for from := 0; from < len(page.Rows); from += txRows {
-		var tx table.Tx
-		for _, ro := range page.Rows[from:min(from+txRows, len(page.Rows))] {
-			tx.Drops = append(tx.Drops, ro.ID)
+	var stale []table.ID
+	for id, pa := range partials {
+		if wants(id) {
+			continue
 		}
-		if err := le.write(ctx, tx); err != nil {
-			return partials, errors.Wrap(err, "drop partial texts")
+		delete(partials, id)
+		if pa.Step+staleSteps < step {
+			stale = append(stale, pa.Rows...)
 		}
 	}
-	return partials, nil
+	return partials, le.DropRows(call, stale)
 }
--- a/batch/ledger_test.go
+++ b/batch/ledger_test.go
@@ -165,24 +165,44 @@
 	})
 }
 
-// A partial text of which only some rows were replaced is left out.
+// Partial texts are there for another owner, and are dropped once they are of no
+// use. One of which only some rows were replaced is left out.
 func TestPartials(t *testing.T) {
 	ctx := context.Background()
 	rows := &fake.Rows{}
 	le := batch.Ledger{Store: rows}
-	text := func(mark string) batch.Partial {
-		return batch.Partial{ID: "i1", Events: []string{strings.Repeat(mark, 70000)}, Versions: []uint64{3}}
+	all := func(string) bool { return true }
+	text := func(mark string, size int) batch.Partial {
+		return batch.Partial{ID: "i1", Events: []string{strings.Repeat(mark, size)}, Versions: []uint64{3}, Step: 1}
 	}
-	require.NoError(t, le.SavePartials(ctx, "r", []batch.Partial{text("a"), {ID: "i2", Events: []string{"b"}, Versions: []uint64{4}}}))
-	torn := batch.PartialPuts("r", text("c"))
-	_, err := rows.Commit(ctx, table.Tx{Puts: torn[:1]})
+	second := batch.Partial{ID: "i2", Events: []string{"b"}, Versions: []uint64{4}, Step: 5}
+	lies, err := le.SavePartials(ctx, "r", []batch.Partial{text("a", 70000), second})
 	require.NoError(t, err)
-	got, err := le.TakePartials(ctx, "r")
+	require.Len(t, lies["i1"], 2)
+	torn := batch.PartialPuts("r", text("c", 70000))
+	_, err = rows.Commit(ctx, table.Tx{Puts: torn[:1]})
 	require.NoError(t, err)
-	require.Equal(t, map[string]batch.Partial{"i2": {ID: "i2", Events: []string{"b"}, Versions: []uint64{4}}}, got)
-	got, err = le.TakePartials(ctx, "r")
+	got, err := le.Partials(ctx, "r", 2, all)
 	require.NoError(t, err)
-	require.Empty(t, got, "they are taken once")
+	require.Len(t, got, 1)
+	require.Equal(t, second.Events, got["i2"].Events)
+
+	longer := text("d", 130000)
+	longer.Rows = lies["i1"]
+	lies, err = le.SavePartials(ctx, "r", []batch.Partial{longer})
+	require.NoError(t, err)
+	require.Len(t, lies["i1"], 3)
+	got, err = le.Partials(ctx, "r", 2, func(id string) bool { return id == "i1" })
+	require.NoError(t, err)
+	require.Equal(t, longer.Events, got["i1"].Events)
+	require.Equal(t, lies["i1"], got["i1"].Rows, "no rows of the earlier write are left")
+
+	got, err = le.Partials(ctx, "r", 9, func(string) bool { return false })
+	require.NoError(t, err)
+	require.Empty(t, got)
+	got, err = le.Partials(ctx, "r", 9, all)
+	require.NoError(t, err)
+	require.Empty(t, got, "texts of steps long ago are dropped")
 	require.True(t, batch.Partial{Events: []string{"x"}, Versions: []uint64{3}}.Fits(3))
 	require.False(t, batch.Partial{Events: []string{"x"}, Versions: []uint64{2}}.Fits(3))
 }
--- a/batch/rows.go
+++ b/batch/rows.go
@@ -199,8 +199,9 @@
 	return chunkPuts(PartialTable, route, pa.ID, seal(encode(pa)))
 }
 
-// DecodePartials reads partial texts by item id. A text of which only some rows
-// were replaced is left out.
+// DecodePartials reads partial texts by item id. Of a text that was written
+// several times the longest counts; one of which only some rows were replaced is
+// left out.
 func DecodePartials(rows []table.Row) (map[string]Partial, error) {
 	out := map[string]Partial{}
 	err := joinChunks(rows, func(_ string, sealed []byte) error {
@@ -212,8 +213,18 @@
 		if err := decode(raw, &pa, "partial text"); err != nil {
 			return err
 		}
+		if have, found := out[pa.ID]; found && len(have.Events) > len(pa.Events) {
+			pa.Events, pa.Versions, pa.Done = have.Events, have.Versions, have.Done
+		}
 		out[pa.ID] = pa
 		return nil
 	})
+	for _, ro := range rows {
+		name, _, _, err := splitChunkKey(ro.ID.Key)
+		if pa, found := out[name]; found && err == nil {
+			pa.Rows = append(pa.Rows, ro.ID)
+			out[name] = pa
+		}
+	}
 	return out, err
 }
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -164,6 +164,30 @@
 	})
 }
 
+// The load pattern: an owner is lost near the end of a step. Its long items go on
+// behind what was saved of them.
+func TestReplaySavedTexts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo := newWorld(t, 3)
+		defer wo.stop()
+		jo := job("j1", 12)
+		require.Nil(t, wo.submit(0, jo))
+		time.Sleep(2200 * time.Millisecond) // long items have some 50 of 60 events
+		wo.entries[0].Kill()
+		time.Sleep(8 * time.Second)
+		wo.whole(1, jo)
+		long := 0
+		for _, it := range jo.Items {
+			if length(it.ID) < 60 {
+				continue
+			}
+			long++
+			require.LessOrEqual(t, wo.engines.made[it.ID], 60+30, "made again is what came after the last save")
+		}
+		require.Positive(t, long)
+	})
+}
+
 // Items that cannot be done are errored after the tries that the route permits,
 // and never before.
 func TestErrored(t *testing.T) {
--- a/intake/world_test.go
+++ b/intake/world_test.go
@@ -42,6 +42,8 @@
 	// running counts the runs of each item that go on at the moment.
 	running map[string]int
 	doubled int
+	// made counts the events of each item, over all its runs.
+	made map[string]int
 }
 
 // length is how many events an item has; some are long.
@@ -94,6 +96,9 @@
 		case <-ctx.Done():
 			return runs.Outcome{Ending: runs.Cut, Text: "left"}
 		case <-pause:
+			en.mutex.Lock()
+			en.made[id]++
+			en.mutex.Unlock()
 			event(runs.Event{Data: fmt.Sprintf("%s-%d", id, at), Version: version})
 		}
 	}
@@ -211,7 +216,7 @@
 	t.Helper()
 	wo := &world{
 		t: t, rows: &fake.Rows{}, desk: &desk{failing: map[string]bool{}, calls: map[string]int{}},
-		engines: &engines{version: 1, runs: map[string]int{}, running: map[string]int{}, fail: map[string]runs.Ending{}, dark: map[string]bool{}},
+		engines: &engines{version: 1, runs: map[string]int{}, running: map[string]int{}, fail: map[string]runs.Ending{}, dark: map[string]bool{}, made: map[string]int{}},
 	}
 	wo.put(operatorTable, "config")
 	for _, id := range []string{"lm1", "lm2", "lm3", "desk1", "desk2"} {
--- a/runs/engine.go
+++ b/runs/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -143,6 +144,13 @@
 	return ru.events
 }
 
+// sofar returns the events that there are, and goes on.
+func (ru *run) sofar() []Event {
+	ru.mutex.Lock()
+	defer ru.mutex.Unlock()
+	return slices.Clone(ru.events)
+}
+
 // progress tells when the last event came, the mean time between the last
 // events, zero if there are not two, and the version of the last one.
 func (ru *run) progress() (last time.Time, pace time.Duration, version uint64) {
--- a/runs/list.go
+++ b/runs/list.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"bilberryshelf/batch"
+	"bilberryshelf/table"
 )
 
 // list appends gathered results to the job, one write at a time. A write whose
@@ -78,3 +79,53 @@
 		jo.known, jo.append = kn, nil
 	}
 }
+
+// save keeps the texts of long runs in the store, so that another owner goes on
+// behind them. The load pattern: owners and whole sites lose power in the middle
+// of a step, whose long items would begin anew.
+func (ow *Owner) save(now time.Time, jo *job) {
+	if jo.saving || now.Sub(jo.savedAt) < saveEvery {
+		return
+	}
+	var (
+		partials []batch.Partial
+		items    = map[string]*item{}
+	)
+	for _, it := range jo.items {
+		if it.state != running && it.state != waiting {
+			continue
+		}
+		if pa, _ := it.partial(jo); len(pa.Events) >= it.saved+saveLeast {
+			partials, items[pa.ID] = append(partials, pa), it
+		}
+	}
+	jo.savedAt = now
+	if len(partials) == 0 {
+		return
+	}
+	unused := jo.unused
+	jo.unused, jo.saving = nil, true
+	go func() {
+		lies, err := ow.Ledger.SavePartials(ow.ctx, jo.route.Name, partials)
+		if err == nil {
+			err = ow.Ledger.DropRows(ow.ctx, unused)
+		}
+		ow.Loop.Post(func() { ow.saved(jo, partials, items, lies, err) })
+	}()
+}
+
+// saved takes the outcome of a save. One that failed is tried again later.
+func (ow *Owner) saved(jo *job, partials []batch.Partial, items map[string]*item, lies map[string][]table.ID, err error) {
+	jo.saving = false
+	if err != nil {
+		level.Debug(ow.Logger).Log("msg", "partial texts not saved", "id", jo.body.ID, "err", err) //nolint:errcheck
+		return
+	}
+	for _, pa := range partials {
+		it := items[pa.ID]
+		it.rows, it.saved = lies[pa.ID], len(pa.Events)
+		if it.state == done {
+			jo.unused = append(jo.unused, it.rows...)
+		}
+	}
+}
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -131,6 +131,10 @@
 	// giveUpSlack is added to the time after which an item may be given up, since
 	// the clocks of two entries differ.
 	giveUpSlack = 3 * time.Second
+	// saveEvery is the pause between saves of partial texts, saveLeast the events
+	// since the last one that make a save worth its bytes: half a second of work.
+	saveEvery = time.Second
+	saveLeast = 12
 	// partialsWait bounds how long a job waits for the texts of an earlier one.
 	partialsWait = 400 * time.Millisecond
 )
@@ -166,6 +170,7 @@
 	for _, jo := range ow.jobs {
 		ow.expire(now, jo)
 		ow.list(now, jo)
+		ow.save(now, jo)
 	}
 	for _, jo := range ow.jobs {
 		ow.empty(now, jo)
@@ -224,13 +229,16 @@
 	go func() {
 		call, cancel := context.WithTimeout(ow.ctx, partialsWait)
 		defer cancel()
-		stored, err := ow.Ledger.TakePartials(call, jo.route.Name)
+		wanted := map[string]bool{}
+		for _, it := range jo.items {
+			wanted[it.item.ID] = true
+		}
+		stored, err := ow.Ledger.Partials(call, jo.route.Name, jo.body.Step, func(id string) bool { return wanted[id] })
 		if err != nil {
 			level.Warn(ow.Logger).Log("msg", "partial texts not read, items start anew", "id", jo.body.ID, "err", err) //nolint:errcheck
 		}
 		ow.Loop.Post(func() {
 			used := jo.reuse(stored) + jo.reuse(ow.memory[jo.route.Name])
-			delete(ow.memory, jo.route.Name)
 			jo.ready = true
 			if used > 0 {
 				level.Info(ow.Logger).Log("msg", "partial texts reused", "id", jo.body.ID, "items", used) //nolint:errcheck
@@ -300,7 +308,7 @@
 		}
 	})
 	for _, jo := range left {
-		if err := ow.Ledger.SavePartials(ctx, jo.route.Name, jo.left); err != nil {
+		if _, err := ow.Ledger.SavePartials(ctx, jo.route.Name, jo.left); err != nil {
 			level.Warn(ow.Logger).Log("msg", "partial texts not saved", "id", jo.body.ID, "err", err) //nolint:errcheck
 		}
 		kn, _ := ow.Index.Get(jo.body.ID)
@@ -331,8 +339,9 @@
 		if it.run != nil {
 			it.keep(it.run.take(), jo.body.Oldest)
 			it.run.cancel()
+			it.run = nil
 		}
-		if pa, some := it.partial(); some && (why == ended || why == released) && !jo.whole(it.item.Group) {
+		if pa, some := it.partial(jo); some && (why == ended || why == released) && !jo.whole(it.item.Group) {
 			partials = append(partials, pa)
 		}
 	}
@@ -348,7 +357,11 @@
 	}
 	ow.memory[jo.route.Name] = kept
 	go func() {
-		if err := ow.Ledger.SavePartials(ow.ctx, jo.route.Name, partials); err != nil {
+		_, err := ow.Ledger.SavePartials(ow.ctx, jo.route.Name, partials)
+		if err == nil {
+			err = ow.Ledger.DropRows(ow.ctx, jo.unused)
+		}
+		if err != nil {
 			level.Warn(ow.Logger).Log("msg", "partial texts not saved", "id", jo.body.ID, "err", err) //nolint:errcheck
 		}
 	}()
@@ -374,6 +387,7 @@
 		it.run = nil
 	}
 	it.state = done
+	jo.unused = append(jo.unused, it.rows...)
 	jo.results = append(jo.results, it.result(state, score))
 	if jo.since.IsZero() {
 		jo.since = ow.Clock.Now()
