--- a/batch/rows.go
+++ b/batch/rows.go
@@ -11,7 +11,8 @@
 )
 
 // The tables of jobs. All rows of a job lie in one part, so that one
-// transaction may touch them. The part of partial texts is the trainer's route.
+// transaction may touch them. The part of partial texts is the job's
+// id while it runs, and the trainer's route once it has ended.
 const (
 	HeadTable    = "job-head"
 	BodyTable    = "job-body"
@@ -194,7 +195,7 @@
 	return out, err
 }
 
-// PartialPuts writes what was generated of an item.
+// PartialPuts writes what was generated of an item under a job or a route.
 func PartialPuts(route string, pa Partial) []table.Put {
 	return chunkPuts(PartialTable, route, pa.ID, seal(encode(pa)))
 }
--- a/order/guard.go
+++ b/order/guard.go
@@ -96,6 +96,9 @@
 	// calm otherwise. Reports from the engine's own machine are free.
 	watchful = 100 * time.Millisecond
 	calm     = 300 * time.Millisecond
+	// clearWait is how long an engine with runs waits under its slot for their
+	// owners to move them: a feed's turn and a report.
+	clearWait = 500 * time.Millisecond
 	// reportTimeout bounds a report from the own machine.
 	reportTimeout = 500 * time.Millisecond
 	// orderTimeout bounds an order: the engine answers before it loads.
@@ -217,6 +220,9 @@
 	if due && !gu.acquire(ctx, Slots(len(si.Engines)), or.Version, Needy(re.Versions[si.Home], or.Version)) {
 		return watchful
 	}
+	if due && or.Mode != Wait && gu.Clock.Now().Sub(gu.held.since) < clearWait {
+		return watchful // the owners of its runs see the slot and move them
+	}
 	if !due {
 		if si.Named[si.Home] > re.Versions[si.Home] {
 			return watchful
--- a/place/place.go
+++ b/place/place.go
@@ -25,8 +25,8 @@
 //     the others have room for their runs. Their guards load them when they are
 //     idle.
 //  7. A run leaves its engine for one of the fastest class with room when its
-//     own engine is outside of the class or is emptied, or when it has made no
-//     event for Stall. What it generated so far is kept.
+//     own engine is outside of the class, is emptied or loads weights, or when
+//     it has made no event for Stall. What it generated so far is kept.
 package place
 
 import (
@@ -215,7 +215,7 @@
 	if ru.Started {
 		stall = Stall
 	}
-	wants := ru.Silent > stall || (at >= 0 && (engines[at].Emptying || Slow(engines[at], median)))
+	wants := ru.Silent > stall || (at >= 0 && (engines[at].Emptying || engines[at].Loading || Slow(engines[at], median)))
 	if !wants {
 		return false
 	}
@@ -249,7 +249,16 @@
 			behind = append(behind, at)
 		}
 	}
-	slices.SortStableFunc(behind, func(lhs, rhs int) int { return cmp.Compare(engines[lhs].Running, engines[rhs].Running) })
+	slices.SortStableFunc(behind, func(lhs, rhs int) int {
+		// An engine two versions behind serves no newer step.
+		if needy := func(at int) bool { return engines[at].Version+1 < named }; needy(lhs) != needy(rhs) {
+			if needy(lhs) {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(engines[lhs].Running, engines[rhs].Running)
+	})
 	together := max(1, int(AtOnceShare*float64(serving)+0.5))
 	var chosen []int
 	for _, at := range behind {
--- a/runs/job.go
+++ b/runs/job.go
@@ -36,6 +36,8 @@
 	append  *batch.Append
 	count   int
 	writing bool
+	// listing tells that a list is about to begin.
+	listing bool
 	retryAt time.Time
 	// savedAt is when partial texts were last saved; saving tells that a write is
 	// open. unused holds rows of texts that are listed.
@@ -44,7 +46,6 @@
 	unused  []table.ID
 	// stalled tells that the store does not take the results at present.
 	stalled bool
-	ready   bool
 	gone    bool
 	// left is what was generated and not listed when the job was left.
 	left []batch.Partial
@@ -72,20 +73,32 @@
 	return true
 }
 
+// reuseLeast is how many more events a stored text must have than a run in
+// progress: what a new start costs.
+const reuseLeast = 4
+
 // reuse takes over texts that an earlier job left, where their versions fit. It
 // returns how many items it helped.
 func (jo *job) reuse(partials map[string]batch.Partial) int {
 	used := 0
 	for _, it := range jo.items {
 		pa, found := partials[it.item.ID]
-		if !found || it.state != waiting || len(pa.Events) <= len(it.events) || !pa.Fits(jo.body.Oldest) || !it.fits(jo.route, pa.Versions) {
+		if !found || it.state == scoring || it.state == done || !pa.Fits(jo.body.Oldest) || !it.fits(jo.route, pa.Versions) {
+			continue
+		}
+		have := len(it.events)
+		if it.run != nil {
+			have += len(it.run.sofar())
+		}
+		if len(pa.Events) < have+reuseLeast {
 			continue
 		}
-		it.events, it.versions, it.carried = pa.Events, pa.Versions, true
-		it.rows, it.saved = pa.Rows, len(pa.Events)
-		if pa.Done {
-			it.state = scoring
+		if it.run != nil {
+			it.run.take() // what it made is there already
+			it.run.leaving = true
+			it.run.cancel()
 		}
+		it.events, it.versions, it.carried, it.whole = pa.Events, pa.Versions, true, pa.Done
 		used++
 	}
 	return used
@@ -104,6 +117,11 @@
 	// avoid is the engine that the last run left.
 	avoid string
 	after time.Time
+	// runs counts the runs, begun is the age of the job at the first, wholeAt when
+	// the text was whole; they are logged.
+	runs    int
+	begun   time.Duration
+	wholeAt time.Time
 	// rows is where the events lie in the store, saved how many of them do.
 	rows  []table.ID
 	saved int
--- a/runs/list.go
+++ b/runs/list.go
@@ -106,7 +106,7 @@
 	unused := jo.unused
 	jo.unused, jo.saving = nil, true
 	go func() {
-		lies, err := ow.Ledger.SavePartials(ow.ctx, jo.route.Name, partials)
+		lies, err := ow.Ledger.SavePartials(ow.ctx, jo.body.ID, partials)
 		if err == nil {
 			err = ow.Ledger.DropRows(ow.ctx, unused)
 		}
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -135,8 +135,11 @@
 	// since the last one that make a save worth its bytes: half a second of work.
 	saveEvery = time.Second
 	saveLeast = 12
-	// partialsWait bounds how long a job waits for the texts of an earlier one.
-	partialsWait = 400 * time.Millisecond
+	// lateShare is the part of a job's due time after which an item is logged.
+	lateShare = 0.8
+	// partialsWait bounds the reads of texts of an earlier job or owner; by then an
+	// item has made so much itself.
+	partialsWait = time.Second
 )
 
 // Init makes the owner ready; runs end with the context. What is told before
@@ -223,36 +226,43 @@
 	})
 }
 
-// recall looks for texts that an earlier job of the route left, then lets the
-// items run.
+// recall looks for texts that an earlier job of the route or a former owner left.
+// The items run meanwhile; one that has less than the text goes on behind it.
 func (ow *Owner) recall(jo *job) {
+	jo.reuse(ow.memory[jo.route.Name])
+	ow.take(jo)
+	wanted := map[string]bool{}
+	for _, it := range jo.items {
+		wanted[it.item.ID] = it.state != done
+	}
 	go func() {
 		call, cancel := context.WithTimeout(ow.ctx, partialsWait)
 		defer cancel()
-		wanted := map[string]bool{}
-		for _, it := range jo.items {
-			wanted[it.item.ID] = true
-		}
-		stored, err := ow.Ledger.Partials(call, jo.route.Name, jo.body.Step, func(id string) bool { return wanted[id] })
-		if err != nil {
-			level.Warn(ow.Logger).Log("msg", "partial texts not read, items start anew", "id", jo.body.ID, "err", err) //nolint:errcheck
-		}
-		ow.Loop.Post(func() {
-			used := jo.reuse(stored) + jo.reuse(ow.memory[jo.route.Name])
-			jo.ready = true
-			if used > 0 {
-				level.Info(ow.Logger).Log("msg", "partial texts reused", "id", jo.body.ID, "items", used) //nolint:errcheck
+		for _, from := range []string{jo.route.Name, jo.body.ID} {
+			stored, err := ow.Ledger.Partials(call, from, jo.body.Step, func(id string) bool { return wanted[id] })
+			if err != nil {
+				level.Warn(ow.Logger).Log("msg", "partial texts not read, items begin anew", "id", jo.body.ID, "from", from, "err", err) //nolint:errcheck
 			}
-			for _, it := range jo.items {
-				if it.state == scoring {
-					ow.score(jo, it)
+			ow.Loop.Post(func() {
+				if used := jo.reuse(stored); used > 0 && !jo.gone {
+					level.Info(ow.Logger).Log("msg", "partial texts reused", "id", jo.body.ID, "from", from, "items", used) //nolint:errcheck
+					ow.take(jo)
 				}
-			}
-			ow.place()
-		})
+			})
+		}
 	}()
 }
 
+// take scores the items whose text is whole, and places the others.
+func (ow *Owner) take(jo *job) {
+	for _, it := range jo.items {
+		if it.state == waiting && it.whole {
+			ow.complete(jo, it)
+		}
+	}
+	ow.place()
+}
+
 // End stops the items of a job that was ended through this entry.
 func (ow *Owner) End(id string) {
 	ow.Loop.Post(func() {
@@ -308,7 +318,7 @@
 		}
 	})
 	for _, jo := range left {
-		if _, err := ow.Ledger.SavePartials(ctx, jo.route.Name, jo.left); err != nil {
+		if _, err := ow.Ledger.SavePartials(ctx, jo.body.ID, jo.left); err != nil {
 			level.Warn(ow.Logger).Log("msg", "partial texts not saved", "id", jo.body.ID, "err", err) //nolint:errcheck
 		}
 		kn, _ := ow.Index.Get(jo.body.ID)
@@ -336,6 +346,7 @@
 	jo.gone = true
 	var partials []batch.Partial
 	for _, it := range jo.items {
+		jo.unused = append(jo.unused, it.rows...)
 		if it.run != nil {
 			it.keep(it.run.take(), jo.body.Oldest)
 			it.run.cancel()
@@ -348,12 +359,14 @@
 	level.Info(ow.Logger).Log("msg", "job left", "id", jo.body.ID, "why", why, "listed", jo.known.Head.Listed, //nolint:errcheck
 		"total", jo.known.Head.Total, "partials", len(partials), "age", jo.known.Head.Age(ow.Clock.Now()))
 	jo.left = partials
-	if len(partials) == 0 || why == released {
+	ow.place()
+	if why == released || why == replaced {
 		return
 	}
 	kept := map[string]batch.Partial{}
-	for _, pa := range partials {
-		kept[pa.ID] = pa
+	for at := range partials {
+		partials[at].Rows = nil // they lie under the job, and these under the route
+		kept[partials[at].ID] = partials[at]
 	}
 	ow.memory[jo.route.Name] = kept
 	go func() {
@@ -365,7 +378,6 @@
 			level.Warn(ow.Logger).Log("msg", "partial texts not saved", "id", jo.body.ID, "err", err) //nolint:errcheck
 		}
 	}()
-	ow.place()
 }
 
 // expire gives up items whose time is over.
@@ -392,6 +404,19 @@
 	if jo.since.IsZero() {
 		jo.since = ow.Clock.Now()
 	}
+	if !jo.listing {
+		jo.listing = true
+		ow.later(gather, func() {
+			jo.listing = false
+			if !jo.gone {
+				ow.list(ow.Clock.Now(), jo)
+			}
+		})
+	}
+	if age := jo.known.Head.Age(ow.Clock.Now()); age > time.Duration(lateShare*float64(jo.route.Due)) {
+		level.Info(ow.Logger).Log("msg", "item late", "job", jo.body.ID, "id", it.item.ID, "events", len(it.events), "hint", it.item.Hint, //nolint:errcheck
+			"age", age, "begun", it.begun, "runs", it.runs, "scored-for", ow.Clock.Now().Sub(it.wholeAt), "carried", it.carried)
+	}
 	if state == batch.Errored {
 		level.Warn(ow.Logger).Log("msg", "item errored", "job", jo.body.ID, "id", it.item.ID, "why", why, //nolint:errcheck
 			"failures", it.failures, "events", len(it.events), "age", jo.known.Head.Age(ow.Clock.Now()))
@@ -399,6 +424,17 @@
 	}
 }
 
+// later posts a function to the loop after a span.
+func (ow *Owner) later(span time.Duration, call func()) {
+	go func() {
+		select {
+		case <-ow.ctx.Done():
+		case <-ow.Clock.After(span):
+			ow.Loop.Post(call)
+		}
+	}()
+}
+
 // engineViews are the engines of a service as the placing sees them.
 func (ow *Owner) engineViews(now time.Time, service, model string) []place.Engine {
 	var views []place.Engine
--- a/runs/step.go
+++ b/runs/step.go
@@ -51,9 +51,7 @@
 		ow.placing = false
 		now := ow.Clock.Now()
 		for _, jo := range ow.byDue() {
-			if jo.ready {
-				ow.placeJob(now, jo)
-			}
+			ow.placeJob(now, jo)
 		}
 	})
 }
@@ -105,6 +103,9 @@
 	ctx, cancel := context.WithCancel(ow.ctx)
 	ru := &run{engine: en, job: jo, item: it, cancel: cancel, began: now}
 	it.state, it.run = running, ru
+	if it.runs++; it.runs == 1 {
+		it.begun = jo.known.Head.Age(now)
+	}
 	en.running++
 	en.runs[ru] = true
 	en.groups[it.item.Group]++
@@ -186,6 +187,8 @@
 	it.keep(events, jo.body.Oldest)
 	it.state = waiting
 	switch {
+	case it.whole: // a stored text came meanwhile
+		ow.complete(jo, it)
 	case out.Ending == Whole && len(it.events) == before+len(events) && len(it.events) > 0:
 		it.whole = true
 		ow.complete(jo, it)
@@ -228,7 +231,7 @@
 		it.state = waiting
 		return
 	}
-	it.state = scoring
+	it.state, it.wholeAt = scoring, ow.Clock.Now()
 	ow.score(jo, it)
 }
 
@@ -258,12 +261,9 @@
 		return
 	}
 	level.Info(ow.Logger).Log("msg", "score not given, trying again", "job", jo.body.ID, "id", it.item.ID, "err", err) //nolint:errcheck
-	go func() {
-		<-ow.Clock.After(storePause)
-		ow.Loop.Post(func() {
-			if !jo.gone && it.state == scoring {
-				ow.score(jo, it)
-			}
-		})
-	}()
+	ow.later(storePause, func() {
+		if !jo.gone && it.state == scoring {
+			ow.score(jo, it)
+		}
+	})
 }
