--- a/calls/calls.go
+++ b/calls/calls.go
@@ -21,6 +21,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log"
@@ -126,18 +127,20 @@
 
 func (*Caller) most(re Request) int { return max(re.Route.Attempts, 1) }
 
+// record logs and counts what came of a request.
 func (ca *Caller) record(at *attempts, an Answer, err *core.Error, took time.Duration) {
 	ca.Meters.Observe("request", at.re.Route.Name, took)
+	targets := strings.Join(at.tried, ",")
 	if err == nil {
-		if at.sent > 1 || an.Status >= http.StatusInternalServerError {
-			level.Info(ca.Logger).Log("msg", "request answered after retries", "id", at.re.ID, "route", at.re.Route.Name, //nolint:errcheck
-				"status", an.Status, "sent", at.sent, "targets", len(at.tried), "took", took)
-		}
+		ca.Meters.Count("requests-answered", at.re.Route.Name, 1)
+		level.Info(ca.Logger).Log("msg", "request answered", "id", at.re.ID, "route", at.re.Route.Name, "status", an.Status, //nolint:errcheck
+			"targets", targets, "refused-by", at.refused, "took", took)
 		return
 	}
-	ca.Meters.Count("request-refused", string(err.Code), 1)
+	ca.Meters.Count("requests-refused", string(err.Code), 1)
 	level.Warn(ca.Logger).Log("msg", "request not served", "id", at.re.ID, "route", at.re.Route.Name, "service", at.service, //nolint:errcheck
-		"sent", at.sent, "refused-by", at.refused, "left", at.re.Deadline.Sub(ca.Clock.Now()), "verdict", err.Verdict, "code", err.Code, "text", err.Text, "took", took)
+		"targets", targets, "sent", at.sent, "refused-by", at.refused, "left", at.re.Deadline.Sub(ca.Clock.Now()),
+		"verdict", err.Verdict, "code", err.Code, "text", err.Text, "took", took)
 }
 
 func (at *attempts) run(ctx context.Context) (Answer, *core.Error) {
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -135,8 +135,6 @@
 	// since the last one that make a save worth its bytes: half a second of work.
 	saveEvery = time.Second
 	saveLeast = 12
-	// lateShare is the part of a job's due time after which an item is logged.
-	lateShare = 0.8
 	// partialsWait bounds the reads of texts of an earlier job or owner; by then an
 	// item has made so much itself.
 	partialsWait = time.Second
@@ -413,9 +411,12 @@
 			}
 		})
 	}
-	if age := jo.known.Head.Age(ow.Clock.Now()); age > time.Duration(lateShare*float64(jo.route.Due)) {
-		level.Info(ow.Logger).Log("msg", "item late", "job", jo.body.ID, "id", it.item.ID, "events", len(it.events), "hint", it.item.Hint, //nolint:errcheck
-			"age", age, "begun", it.begun, "runs", it.runs, "scored-for", ow.Clock.Now().Sub(it.wholeAt), "carried", it.carried)
+	now := ow.Clock.Now()
+	age := jo.known.Head.Age(now)
+	ow.Meters.Observe("item", jo.route.Name, age)
+	if state == batch.Completed {
+		level.Info(ow.Logger).Log("msg", "item completed", "job", jo.body.ID, "id", it.item.ID, "events", len(it.events), "hint", it.item.Hint, //nolint:errcheck
+			"age", age, "due", jo.route.Due, "begun", it.begun, "runs", it.runs, "scored-for", now.Sub(it.wholeAt), "carried", it.carried)
 	}
 	if state == batch.Errored {
 		level.Warn(ow.Logger).Log("msg", "item errored", "job", jo.body.ID, "id", it.item.ID, "why", why, //nolint:errcheck
--- a/runs/step.go
+++ b/runs/step.go
@@ -111,6 +111,9 @@
 	en.runs[ru] = true
 	en.groups[it.item.Group]++
 	se := Send{Job: jo.body, Item: it.item, After: len(it.events)}
+	level.Info(ow.Logger).Log("msg", "run begun", "job", jo.body.ID, "id", it.item.ID, "engine", en.target.ID, "after", se.After, //nolint:errcheck
+		"version", en.version(jo.body.Model), "running", en.running, "pace", en.pace)
+	ow.Meters.Count("runs-begun", jo.route.Name, 1)
 	go func() {
 		out := ow.Engine.Run(ctx, en.target, se, func(ev Event) { ru.add(ow.Clock.Now(), ev) })
 		cancel()
