--- a/subcmd/subcmd.go
+++ b/subcmd/subcmd.go
@@ -115,6 +115,12 @@
 		example: "bilberryshelf check-settings --guard guard.toml",
 		data:    func(out io.Writer) any { return &checkCommand{out: out} },
 	},
+	{
+		name: "explain", title: "tell a request's story from logs",
+		text:    "Prints the log lines of all files that bear an id of a request, job, item or target, by time. Exit codes: 0, 1 if there is none.",
+		example: "bilberryshelf explain 3a42d2762e05eef9 entry-1.log entry-2.log",
+		data:    func(out io.Writer) any { return &explainCommand{out: out} },
+	},
 	{
 		name: "version", title: "print the version",
 		text:    "Prints the version of the program and of the toolchain. Exit code: 0.",
