--- a/batch/batch.go
+++ b/batch/batch.go
@@ -128,6 +128,8 @@
 	Parts int `cbor:"8,keyasint"`
 	// Due is how long after the submission the results are due.
 	Due time.Duration `cbor:"9,keyasint"`
+	// Route is the name of the job's route.
+	Route string `cbor:"10,keyasint"`
 }
 
 // Open tells whether items of the job may still be listed.
--- a/batch/rows.go
+++ b/batch/rows.go
@@ -147,6 +147,15 @@
 	return append(out, puts[from:])
 }
 
+// EncodeBody encodes a job's body whole.
+func EncodeBody(jo *Job) []byte { return encode(jo) }
+
+// DecodeWhole decodes a body that lies in one piece.
+func DecodeWhole(raw []byte) (*Job, error) {
+	jo := &Job{}
+	return jo, decode(raw, jo, "body of a job")
+}
+
 // BodyPuts writes a job's body.
 func BodyPuts(jo *Job) []table.Put {
 	return chunkPuts(BodyTable, Part(jo.ID), jo.ID+"/body", encode(jo))
--- a/boot/node.go
+++ b/boot/node.go
@@ -22,6 +22,9 @@
 	// heapShare is the part of the machine's memory at which the collector works
 	// harder; the rest is for stacks, buffers and bytes that are not read yet.
 	heapShare = 0.6
+	// weakCores is the share of a core below which an entry runs no jobs: one takes
+	// about a twentieth of a core, several at once and the collector more.
+	weakCores = 0.3
 	// gcPercent keeps the heap small: memory is paid for by its peak.
 	gcPercent = 50
 )
@@ -40,9 +43,13 @@
 	inner := &http.Client{Transport: innerTransport()}
 	en := intake.New(intake.Settings{
 		Node: se.Name, Domain: se.Place.FailureDomain, Inner: se.Listen.Inner, Grace: se.Timing.Grace.Std(),
+		Weak: se.Machine.Cores < weakCores,
 	}, intake.Ports{
 		Direct: store, Sender: targets, Engine: targets,
 		Dial: func(addr string) table.Caller { return via.NewClient(inner, addr) },
+		Starter: func(addr string) intake.Starter {
+			return wireconnect.NewJobServiceClient(inner, "http://"+addr)
+		},
 	}, intake.Decoders{
 		OperatorTable: platform.OperatorTable, TargetTable: platform.TargetTable,
 		Config: platform.DecodeConfig, Target: platform.DecodeTarget, Version: platform.DecodeVersion,
@@ -50,6 +57,7 @@
 	front := &platform.Front{Service: en, Logger: lg}
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewTableServiceHandler(via.Service{Direct: store}))
+	mux.Handle(wireconnect.NewJobServiceHandler(en))
 	return daemon(en, map[string]http.Handler{
 		se.Listen.Callers: front, se.Listen.Readiness: front, se.Listen.Inner: mux, se.Listen.Metrics: metricsHandler(me),
 	})
--- a/calls/board.go
+++ b/calls/board.go
@@ -19,6 +19,11 @@
 	// nearLoad is the share of its slots up to which a target in the caller's own
 	// failure domain goes before others: bytes between domains are paid for.
 	nearLoad = 0.7
+	// warmFor is how long a connection to a target is surely kept; a target that
+	// was asked within it goes first up to warmLoad, since a new connection is paid
+	// for and takes a slot for a moment.
+	warmFor  = 3 * time.Second
+	warmLoad = 0.5
 	// answerMemory is the weight of a new answer time in the mean.
 	answerMemory = 0.2
 	// slowTarget is how many times the mean of the service a target's mean answer
@@ -37,6 +42,8 @@
 	failures int
 	until    time.Time
 	answer   time.Duration
+	// used is when the target last answered.
+	used time.Time
 }
 
 // Board keeps the targets of plain services with what their answers told. It is
@@ -69,7 +76,7 @@
 func (bo *Board) choose(now time.Time, service string, tried []string, domain string, draw func(int) int) (fleet.Target, bool) {
 	bo.mutex.Lock()
 	defer bo.mutex.Unlock()
-	var near, all, resting []fleet.Target
+	var warm, near, all, resting []fleet.Target
 	mean := bo.meanAnswer(service)
 	for _, ta := range bo.services[service] {
 		if slices.Contains(tried, ta.ID) {
@@ -81,11 +88,15 @@
 			continue
 		}
 		all = append(all, ta)
+		// A target that is asked right now has no connection to spare.
+		if now.Sub(sc.used) < warmFor && sc.mine == 0 && bo.load(ta) < warmLoad {
+			warm = append(warm, ta)
+		}
 		if ta.Domain == domain && bo.load(ta) < nearLoad {
 			near = append(near, ta)
 		}
 	}
-	for _, from := range [][]fleet.Target{near, all, resting} {
+	for _, from := range [][]fleet.Target{warm, near, all, resting} {
 		if len(from) > 0 {
 			return bo.lighter(from[draw(len(from))], from[draw(len(from))]), true
 		}
@@ -146,7 +157,7 @@
 	sc.mine--
 	switch {
 	case ou.err == nil:
-		sc.failures = 0
+		sc.failures, sc.used = 0, now
 		sc.answer += time.Duration(answerMemory * float64(ou.took-sc.answer))
 		if ou.answer.Slots > 0 {
 			sc.reported, sc.mineThen = ou.answer.Running+ou.answer.Waiting, then // the answered request is still counted
--- a/calls/calls.go
+++ b/calls/calls.go
@@ -5,8 +5,8 @@
 // them, leave, or fall silent.
 //
 //  1. A request goes to the less loaded of two targets drawn among those that
-//     are ready and not resting, in the caller's failure domain first while it
-//     has room.
+//     are ready and not resting: first among those with an idle connection and
+//     little load, then in the entry's failure domain while it has room.
 //  2. A refusal with not-run leads to another target at once. When MostRefusals
 //     targets refused, the caller is refused with the time to come back.
 //  3. An idempotent request whose target fails or gives no sound answer goes to
--- a/intake/adopt.go
+++ b/intake/adopt.go
@@ -35,7 +35,7 @@
 		if !waits {
 			since = now
 		}
-		wait, mine := en.turn(now, job, kn.Head.Owner)
+		wait, mine := en.turn(now, kn.Head)
 		if !mine {
 			delete(en.orphans, job)
 			continue
@@ -50,16 +50,16 @@
 
 // turn is how long after it was found an orphan is adopted here; mine is false
 // for a job whose owner lives.
-func (en *Entry) turn(now time.Time, job, owner string) (wait time.Duration, mine bool) {
-	if owner == en.name {
+func (en *Entry) turn(now time.Time, he batch.Head) (wait time.Duration, mine bool) {
+	if he.Owner == en.name {
 		return ownWait, true
 	}
 	en.mutex.Lock()
 	defer en.mutex.Unlock()
-	if !en.members.Dead(now, owner) {
+	if !en.members.Dead(now, he.Owner) {
 		return 0, false
 	}
-	return en.members.Turn(now, job, en.name)
+	return en.members.Turn(now, he.Route, en.name)
 }
 
 func (en *Entry) adopt(ctx context.Context, job string, kn batch.Known) {
--- /dev/null
+++ b/intake/hand.go
@@ -0,0 +1,74 @@
+package intake
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"bilberryshelf/batch"
+	"bilberryshelf/conf"
+	"bilberryshelf/member"
+	"bilberryshelf/wire"
+)
+
+// handTime bounds the hand-over of a job: a connection and the body, over the
+// link between regions.
+const handTime = 400 * time.Millisecond
+
+// home is the entry that runs the jobs of a route: this one if no other is known
+// to be better placed.
+func (en *Entry) home(route string) member.Record {
+	self := member.Record{Name: en.name, Addr: en.settings.Inner}
+	en.mutex.Lock()
+	defer en.mutex.Unlock()
+	re, found := en.members.Home(en.clock.Now(), route)
+	if !found {
+		return self
+	}
+	return re
+}
+
+// hand starts an accepted job here or at its owner. An owner that does not take
+// it loses it to this entry.
+func (en *Entry) hand(jo *batch.Job, kn batch.Known, route conf.Route, home member.Record) {
+	if home.Name == en.name {
+		en.owner.Start(jo, kn, route, nil)
+		return
+	}
+	go func() {
+		call, cancel := context.WithTimeout(en.ctx, handTime)
+		defer cancel()
+		_, err := en.starter(home.Addr).Start(call, &wire.StartRequest{
+			Job: jo.ID, Body: batch.EncodeBody(jo), Head: batch.EncodeHead(kn.Head), Version: kn.Version,
+		})
+		if err == nil {
+			return
+		}
+		level.Warn(en.logger).Log("msg", "job not handed over, taken back", "id", jo.ID, "owner", home.Name, "err", err) //nolint:errcheck
+		en.adopt(en.ctx, jo.ID, kn)
+	}()
+}
+
+// Start takes a job that another entry accepted for this one.
+func (en *Entry) Start(_ context.Context, req *wire.StartRequest) (*wire.StartResponse, error) {
+	jo, err := batch.DecodeWhole(req.GetBody())
+	if err != nil {
+		return nil, err
+	}
+	he, err := batch.DecodeHead(req.GetHead())
+	if err != nil {
+		return nil, err
+	}
+	if en.leaving.Load() {
+		return nil, errLeaving
+	}
+	route, _, failed := en.Find(jo.Host, jo.Path)
+	if failed != nil {
+		return nil, failed
+	}
+	kn := batch.Known{Head: he, Version: req.GetVersion()}
+	en.index.Put(jo.ID, kn)
+	en.owner.Start(jo, kn, route, nil)
+	return &wire.StartResponse{}, nil
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -26,6 +26,7 @@
 	"bilberryshelf/runs"
 	"bilberryshelf/table"
 	"bilberryshelf/via"
+	"bilberryshelf/wire"
 )
 
 // Decoders read the rows that others write.
@@ -64,6 +65,7 @@
 	owner    *runs.Owner
 	loop     *core.Loop
 	dial     func(addr string) table.Caller
+	starter  func(addr string) Starter
 
 	config  atomic.Pointer[conf.Config]
 	ready   atomic.Bool
@@ -87,13 +89,23 @@
 	Engine runs.Engine
 	// Dial reaches the tables through the peer at an inner address.
 	Dial func(addr string) table.Caller
+	// Starter hands jobs to the peer at an inner address.
+	Starter func(addr string) Starter
 }
 
+// Starter hands a job to another entry.
+type Starter interface {
+	Start(ctx context.Context, req *wire.StartRequest) (*wire.StartResponse, error)
+}
+
+// errLeaving refuses a job at an entry that is about to stop.
+var errLeaving = errors.New("this entry is stopping")
+
 // New makes an entry.
 func New(se Settings, po Ports, de Decoders, clock core.Clock, lg log.Logger, me *meter.Set) *Entry {
 	en := &Entry{
 		settings: se, name: se.Node + "/" + strconv.FormatUint(rand.Uint64(), 36), clock: clock, logger: lg, meters: me,
-		decoders: de, index: batch.NewIndex(lg), board: &calls.Board{}, loop: core.NewLoop(), dial: po.Dial,
+		decoders: de, index: batch.NewIndex(lg), board: &calls.Board{}, loop: core.NewLoop(), dial: po.Dial, starter: po.Starter,
 		done: make(chan struct{}), malformed: map[string]uint64{}, orphans: map[string]time.Time{}, dials: map[string]table.Caller{},
 	}
 	en.ctx, en.stop = context.WithCancel(context.Background())
@@ -302,11 +314,17 @@
 
 // renew keeps the entry's row.
 func (en *Entry) renew(ctx context.Context) {
+	near := false
 	for beat := uint64(1); ctx.Err() == nil; beat++ {
 		re := member.Record{
-			Name: en.name, Addr: en.settings.Inner, Beat: beat, Weak: en.settings.Weak, Leaving: en.leaving.Load(), Domain: en.settings.Domain,
+			Name: en.name, Addr: en.settings.Inner, Beat: beat, Weak: en.settings.Weak, Leaving: en.leaving.Load(), Domain: en.settings.Domain, Near: near,
 		}
-		if err := en.writeMember(ctx, re); err != nil && ctx.Err() == nil {
+		began := en.clock.Now()
+		err := en.writeMember(ctx, re)
+		if took := en.clock.Now().Sub(began); err == nil && took < nearTime {
+			near = true // a slow store later says nothing of the distance
+		}
+		if err != nil && ctx.Err() == nil {
 			level.Warn(en.logger).Log("msg", "row not renewed", "beat", beat, "err", err) //nolint:errcheck
 		}
 		select {
@@ -327,6 +345,10 @@
 	return err
 }
 
+// nearTime is how fast an entry near the store writes a row: the store's 4 to 10 ms
+// and a way within the region; the way to another region alone takes 60 ms.
+const nearTime = 40 * time.Millisecond
+
 // lookEvery is the pause between looks for orphans and lapsed targets.
 const lookEvery = 200 * time.Millisecond
 
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -30,6 +30,32 @@
 	})
 }
 
+// All jobs of a route run at one entry, wherever they were submitted. One that
+// does not take a job loses it to the entry that accepted it.
+func TestHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo := newWorld(t, 3)
+		defer wo.stop()
+		for at := range 3 {
+			require.Nil(t, wo.submit(at, job("j"+string(rune('0'+at)), 3)))
+		}
+		time.Sleep(200 * time.Millisecond)
+		owner := wo.owner("j0")
+		require.Equal(t, owner, wo.owner("j1"))
+		require.Equal(t, owner, wo.owner("j2"))
+		time.Sleep(5 * time.Second)
+		wo.entries[owner].Kill()
+		time.Sleep(100 * time.Millisecond) // nobody knows yet
+		other := (owner + 1) % 3
+		last := job("j9", 3)
+		require.Nil(t, wo.submit(other, last))
+		time.Sleep(800 * time.Millisecond)
+		require.Equal(t, other, wo.owner("j9"))
+		time.Sleep(5 * time.Second)
+		wo.whole(other, last)
+	})
+}
+
 // A read waits for a result, and an early one comes as soon as it is listed.
 func TestReadWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -52,13 +78,13 @@
 func TestOwnerLost(t *testing.T) {
 	for _, tc := range []struct {
 		name string
-		do   func(wo *world)
-		mend func(wo *world)
+		do   func(wo *world, owner int)
+		mend func(wo *world, owner int)
 	}{
-		{"killed", func(wo *world) { wo.entries[0].Kill() }, nil},
-		{"killed and started again", func(wo *world) { wo.entries[0].Kill(); wo.start(0) }, nil},
-		{"parted from the store", func(wo *world) { wo.links[0].set(true) }, func(wo *world) { wo.links[0].set(false) }},
-		{"stopped as planned", func(wo *world) { go wo.entries[0].Stop() }, nil},
+		{"killed", func(wo *world, owner int) { wo.entries[owner].Kill() }, nil},
+		{"killed and started again", func(wo *world, owner int) { wo.entries[owner].Kill(); wo.start(owner) }, nil},
+		{"parted from the store", func(wo *world, owner int) { wo.links[owner].set(true) }, func(wo *world, owner int) { wo.links[owner].set(false) }},
+		{"stopped as planned", func(wo *world, owner int) { go wo.entries[owner].Stop() }, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -67,17 +93,19 @@
 				jo := job("j1", 12)
 				require.Nil(t, wo.submit(0, jo))
 				time.Sleep(900 * time.Millisecond)
-				before := wo.read(1, "j1")
+				owner := wo.owner("j1")
+				other, third := (owner+1)%3, (owner+2)%3
+				before := wo.read(other, "j1")
 				require.NotEmpty(t, before)
-				tc.do(wo)
+				tc.do(wo, owner)
 				time.Sleep(10 * time.Second)
 				if tc.mend != nil {
-					tc.mend(wo)
+					tc.mend(wo, owner)
 					time.Sleep(5 * time.Second)
 				}
 				wo.engines.doubled = 0 // a former owner may still run what it has
-				wo.whole(1, jo)
-				require.Equal(t, before, wo.read(2, "j1")[:len(before)])
+				wo.whole(other, jo)
+				require.Equal(t, before, wo.read(third, "j1")[:len(before)])
 			})
 		})
 	}
@@ -173,9 +201,10 @@
 		jo := job("j1", 12)
 		require.Nil(t, wo.submit(0, jo))
 		time.Sleep(2200 * time.Millisecond) // long items have some 50 of 60 events
-		wo.entries[0].Kill()
+		owner := wo.owner("j1")
+		wo.entries[owner].Kill()
 		time.Sleep(8 * time.Second)
-		wo.whole(1, jo)
+		wo.whole((owner+1)%3, jo)
 		long := 0
 		for _, it := range jo.Items {
 			if length(it.ID) < 60 {
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -46,19 +46,17 @@
 	if en.leaving.Load() {
 		return core.Refuse(core.CodeDraining, "this entry is stopping").WithRetryAfter(lookEvery)
 	}
-	he := batch.Head{Epoch: 1, Owner: en.name, Total: len(jo.Items), Submitted: en.clock.Now().UnixMilli(), Due: route.Due}
-	if en.settings.Weak {
-		he.Owner = ""
+	home := en.home(route.Name)
+	he := batch.Head{
+		Epoch: 1, Owner: home.Name, Total: len(jo.Items), Submitted: en.clock.Now().UnixMilli(), Due: route.Due, Route: route.Name,
 	}
 	kn, err := en.ledger.Accept(ctx, jo, he)
 	level.Info(en.logger).Log("msg", "job submitted", "id", jo.ID, "route", route.Name, "step", jo.Step, "items", len(jo.Items), //nolint:errcheck
-		"groups", jo.Groups, "version", kn.Version, "err", err)
+		"groups", jo.Groups, "owner", home.Name, "version", kn.Version, "err", err)
 	switch {
 	case err == nil:
 		en.index.Put(jo.ID, kn)
-		if he.Owner != "" {
-			en.owner.Start(jo, kn, route, nil)
-		}
+		en.hand(jo, kn, route, home)
 		return nil
 	case errors.Is(err, batch.ErrLost) && kn.Version > 0:
 		en.index.Put(jo.ID, kn)
--- a/intake/stop.go
+++ b/intake/stop.go
@@ -51,3 +51,6 @@
 
 // Kill ends the entry at once, as a lost process would.
 func (en *Entry) Kill() { en.stop() }
+
+// Owns tells whether a job runs here.
+func (en *Entry) Owns(job string) bool { return en.owner.Owns(job) }
--- a/intake/world_test.go
+++ b/intake/world_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
@@ -23,6 +24,7 @@
 	"bilberryshelf/meter"
 	"bilberryshelf/runs"
 	"bilberryshelf/table"
+	"bilberryshelf/wire"
 )
 
 const (
@@ -234,12 +236,46 @@
 	require.NoError(wo.t, err)
 }
 
+// starter is the way to the entry with an inner address.
+func (wo *world) starter(addr string) intake.Starter {
+	at, err := strconv.Atoi(strings.TrimPrefix(addr, "n"))
+	require.NoError(wo.t, err)
+	return &peer{world: wo, at: at}
+}
+
+// peer is an entry as another one reaches it; a dead one does not answer.
+type peer struct {
+	world *world
+	at    int
+}
+
+func (pe *peer) Start(ctx context.Context, req *wire.StartRequest) (*wire.StartResponse, error) {
+	select {
+	case <-pe.world.ended[pe.at]:
+		return nil, errors.New("connection refused")
+	default:
+		return pe.world.entries[pe.at].Start(ctx, req)
+	}
+}
+
+// owner is the entry that runs a job.
+func (wo *world) owner(id string) int {
+	wo.t.Helper()
+	for at, en := range wo.entries {
+		if en.Owns(id) {
+			return at
+		}
+	}
+	wo.t.Fatalf("nobody runs %s", id)
+	return 0
+}
+
 // start runs an entry on a node, anew if there was one.
 func (wo *world) start(node int) {
 	li := &link{Rows: wo.rows}
 	en := intake.New(
 		intake.Settings{Node: "n" + strconv.Itoa(node), Domain: "d", Inner: "n" + strconv.Itoa(node), Grace: 8 * time.Second},
-		intake.Ports{Direct: li, Sender: wo.desk, Engine: wo.engines, Dial: func(string) table.Caller { return wo.rows }},
+		intake.Ports{Direct: li, Sender: wo.desk, Engine: wo.engines, Dial: func(string) table.Caller { return wo.rows }, Starter: wo.starter},
 		decoders(), core.SystemClock{}, log.NewNopLogger(), &meter.Set{},
 	)
 	ended := make(chan struct{})
--- a/member/member.go
+++ b/member/member.go
@@ -7,9 +7,12 @@
 //     else's clock is asked.
 //  3. While the rows are not fresh, nobody is found dead; and once they are fresh
 //     again, each entry has Expiry to renew its row.
-//  4. An orphan is adopted by the live entry with the highest rendezvous weight;
-//     each further one waits AdoptStep longer, so that one that does not act is
-//     passed over.
+//  4. The jobs of a route belong to one entry: the live one with the highest
+//     rendezvous weight for the route, of those near the store if there are any.
+//     So it knows the load of its engines, and its connections to them are used
+//     again by the next step.
+//  5. An orphan is adopted by that entry; each further one waits AdoptStep longer,
+//     so that one that does not act is passed over.
 package member
 
 import (
@@ -48,6 +51,8 @@
 	// Leaving entries are about to stop.
 	Leaving bool   `cbor:"5,keyasint"`
 	Domain  string `cbor:"6,keyasint"`
+	// Near entries reach the store fast, as they measured it.
+	Near bool `cbor:"7,keyasint"`
 }
 
 // Encode turns a record into the value of a row.
@@ -134,9 +139,8 @@
 	return !alive
 }
 
-// Turn is how long after the owner's death an entry adopts a job (rule 4); ok
-// is false for one that adopts none.
-func (vi *View) Turn(now time.Time, job, name string) (wait time.Duration, ok bool) {
+// ranked lists the entries that run jobs, best placed for a route first.
+func (vi *View) ranked(now time.Time, route string) []Record {
 	var ranked []Record
 	for _, re := range vi.Live(now) {
 		if !re.Leaving && !re.Weak {
@@ -144,8 +148,41 @@
 		}
 	}
 	slices.SortFunc(ranked, func(lhs, rhs Record) int {
-		return cmp.Compare(core.Rendezvous(job, rhs.Name), core.Rendezvous(job, lhs.Name))
+		if lhs.Near != rhs.Near {
+			if lhs.Near {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(core.Rendezvous(route, rhs.Name), core.Rendezvous(route, lhs.Name))
 	})
+	return ranked
+}
+
+// freshFor is how long ago an entry must have renewed its row to be handed a
+// new job: one renewal and a feed's turn.
+const freshFor = 1600 * time.Millisecond
+
+// Home is the entry that runs the jobs of a route (rule 4); found is false if
+// there is none that surely lives.
+func (vi *View) Home(now time.Time, route string) (re Record, found bool) {
+	if !vi.certain(now) {
+		return Record{}, false
+	}
+	for _, re := range vi.ranked(now, route) {
+		for _, se := range vi.byNode {
+			if se.record.Name == re.Name && now.Sub(se.at) <= freshFor {
+				return re, true
+			}
+		}
+	}
+	return Record{}, false
+}
+
+// Turn is how long after the owner's death an entry adopts a job of a route
+// (rule 5); ok is false for one that adopts none.
+func (vi *View) Turn(now time.Time, route, name string) (wait time.Duration, ok bool) {
+	ranked := vi.ranked(now, route)
 	at := slices.IndexFunc(ranked, func(re Record) bool { return re.Name == name })
 	return time.Duration(at) * AdoptStep, at >= 0
 }
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -73,3 +73,30 @@
 	}
 	require.Equal(t, map[time.Duration]int{0: 1, member.AdoptStep: 1}, waits)
 }
+
+// The jobs of a route go to one entry near the store that surely lives; without
+// one there is no home.
+func TestHome(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var vi member.View
+	vi.Confirm(now)
+	for _, na := range []string{"a", "b", "c", "d"} {
+		require.NoError(t, vi.Put(now, row(t, na, member.Record{Name: na, Beat: 1, Near: na == "c" || na == "d"})))
+	}
+	first, found := vi.Home(now, "r")
+	require.True(t, found)
+	require.True(t, first.Near)
+	now = now.Add(1700 * time.Millisecond)
+	vi.Confirm(now)
+	_, found = vi.Home(now, "r")
+	require.False(t, found, "nobody has renewed its row lately")
+	for _, na := range []string{"a", "b", "c", "d"} {
+		if na != first.Name {
+			require.NoError(t, vi.Put(now, row(t, na, member.Record{Name: na, Beat: 2, Near: na == "c" || na == "d"})))
+		}
+	}
+	second, found := vi.Home(now, "r")
+	require.True(t, found)
+	require.NotEqual(t, first.Name, second.Name)
+	require.True(t, second.Near)
+}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -81,12 +81,17 @@
 	return li.Addr().String()
 }
 
-func freeAddr(t *testing.T) string {
+// freeAddrs returns addresses that differ: each is held until all are known.
+func freeAddrs(t *testing.T, count int) []string {
 	t.Helper()
-	li, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer li.Close() //nolint:errcheck // only its number was wanted
-	return li.Addr().String()
+	var addrs []string
+	for range count {
+		li, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer li.Close() //nolint:errcheck // only its number was wanted
+		addrs = append(addrs, li.Addr().String())
+	}
+	return addrs
 }
 
 func newWorld(t *testing.T, binary string) *world {
@@ -98,12 +103,18 @@
 		wo.seen[id]++
 	}
 	wo.put("op", "config", config)
+	free := freeAddrs(t, engines+4*entries)
+	take := func() string {
+		addr := free[0]
+		free = free[1:]
+		return addr
+	}
 	for at := range engines {
 		ta := &stand.Target{ID: fmt.Sprintf("e%d", at), Slots: 6, Models: map[string]uint64{"m": 1}, Pace: 15 * time.Millisecond, Load: 300 * time.Millisecond, Seen: seen}
 		addr := listen(t, ta)
 		wo.engines = append(wo.engines, ta)
 		go wo.register(t.Context(), ta, "lm", addr)
-		wo.guards = append(wo.guards, wo.process(fmt.Sprintf("guard-%d", at), "node-guard", guardSettings, addr, freeAddr(t), store))
+		wo.guards = append(wo.guards, wo.process(fmt.Sprintf("guard-%d", at), "node-guard", guardSettings, addr, take(), store))
 	}
 	for at := range desks {
 		ta := &stand.Target{ID: fmt.Sprintf("d%d", at), Slots: 8, Pace: 10 * time.Millisecond, Seen: seen}
@@ -113,9 +124,9 @@
 	}
 	for at := range entries {
 		link := newProxy(t, store)
-		front := freeAddr(t)
+		front := take()
 		wo.links, wo.fronts = append(wo.links, link), append(wo.fronts, front)
-		wo.entries = append(wo.entries, wo.process(fmt.Sprintf("entry-%d", at), "node-entry", entrySettings, front, freeAddr(t), freeAddr(t), freeAddr(t), link.addr))
+		wo.entries = append(wo.entries, wo.process(fmt.Sprintf("entry-%d", at), "node-entry", entrySettings, front, take(), take(), take(), link.addr))
 	}
 	for _, pr := range append(wo.entries, wo.guards...) {
 		wo.start(pr)
--- a/wire/wireconnect/wire.connect.go
+++ b/wire/wireconnect/wire.connect.go
@@ -28,6 +28,8 @@
 	PeerServiceName = "bilberryshelf.wire.PeerService"
 	// TableServiceName is the fully-qualified name of the TableService service.
 	TableServiceName = "bilberryshelf.wire.TableService"
+	// JobServiceName is the fully-qualified name of the JobService service.
+	JobServiceName = "bilberryshelf.wire.JobService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -52,6 +54,8 @@
 	TableServiceCommitProcedure = "/bilberryshelf.wire.TableService/Commit"
 	// TableServiceListProcedure is the fully-qualified name of the TableService's List RPC.
 	TableServiceListProcedure = "/bilberryshelf.wire.TableService/List"
+	// JobServiceStartProcedure is the fully-qualified name of the JobService's Start RPC.
+	JobServiceStartProcedure = "/bilberryshelf.wire.JobService/Start"
 )
 
 // GuardServiceClient is a client for the bilberryshelf.wire.GuardService service.
@@ -407,3 +411,77 @@
 func (UnimplementedTableServiceHandler) List(context.Context, *wire.ListRequest) (*wire.PageResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bilberryshelf.wire.TableService.List is not implemented"))
 }
+
+// JobServiceClient is a client for the bilberryshelf.wire.JobService service.
+type JobServiceClient interface {
+	Start(context.Context, *wire.StartRequest) (*wire.StartResponse, error)
+}
+
+// NewJobServiceClient constructs a client for the bilberryshelf.wire.JobService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewJobServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) JobServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	jobServiceMethods := wire.File_wire_wire_proto.Services().ByName("JobService").Methods()
+	return &jobServiceClient{
+		start: connect.NewClient[wire.StartRequest, wire.StartResponse](
+			httpClient,
+			baseURL+JobServiceStartProcedure,
+			connect.WithSchema(jobServiceMethods.ByName("Start")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// jobServiceClient implements JobServiceClient.
+type jobServiceClient struct {
+	start *connect.Client[wire.StartRequest, wire.StartResponse]
+}
+
+// Start calls bilberryshelf.wire.JobService.Start.
+func (c *jobServiceClient) Start(ctx context.Context, req *wire.StartRequest) (*wire.StartResponse, error) {
+	response, err := c.start.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// JobServiceHandler is an implementation of the bilberryshelf.wire.JobService service.
+type JobServiceHandler interface {
+	Start(context.Context, *wire.StartRequest) (*wire.StartResponse, error)
+}
+
+// NewJobServiceHandler builds an HTTP handler from the service implementation. It returns the path
+// on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewJobServiceHandler(svc JobServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	jobServiceMethods := wire.File_wire_wire_proto.Services().ByName("JobService").Methods()
+	jobServiceStartHandler := connect.NewUnaryHandlerSimple(
+		JobServiceStartProcedure,
+		svc.Start,
+		connect.WithSchema(jobServiceMethods.ByName("Start")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/bilberryshelf.wire.JobService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case JobServiceStartProcedure:
+			jobServiceStartHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedJobServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedJobServiceHandler struct{}
+
+func (UnimplementedJobServiceHandler) Start(context.Context, *wire.StartRequest) (*wire.StartResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bilberryshelf.wire.JobService.Start is not implemented"))
+}
