--- a/calls/board.go
+++ b/calls/board.go
@@ -76,27 +76,18 @@
 func (bo *Board) choose(now time.Time, service string, tried []string, domain string, draw func(int) int) (fleet.Target, bool) {
 	bo.mutex.Lock()
 	defer bo.mutex.Unlock()
-	var warm, near, all, resting []fleet.Target
+	var classes [classCount][]fleet.Target
 	mean := bo.meanAnswer(service)
 	for _, ta := range bo.services[service] {
 		if slices.Contains(tried, ta.ID) {
 			continue
 		}
-		sc := bo.scores[ta.ID]
-		if now.Before(sc.until) || (mean > 0 && float64(sc.answer) > slowTarget*float64(mean)) {
-			resting = append(resting, ta)
-			continue
-		}
-		all = append(all, ta)
-		// A target that is asked right now has no connection to spare.
-		if now.Sub(sc.used) < warmFor && sc.mine == 0 && bo.load(ta) < warmLoad {
-			warm = append(warm, ta)
-		}
-		if ta.Domain == domain && bo.load(ta) < nearLoad {
-			near = append(near, ta)
-		}
+		cl := bo.class(now, ta, domain, mean)
+		classes[cl] = append(classes[cl], ta)
 	}
-	for _, from := range [][]fleet.Target{warm, near, all, resting} {
+	// A target is as good as any that is no better placed than it.
+	classes[far] = append(classes[far], classes[near]...)
+	for _, from := range classes {
 		if len(from) > 0 {
 			return bo.lighter(from[draw(len(from))], from[draw(len(from))]), true
 		}
@@ -104,6 +95,30 @@
 	return fleet.Target{}, false
 }
 
+// The classes of targets, best first.
+const (
+	warm = iota
+	near
+	far
+	resting
+	classCount
+)
+
+func (bo *Board) class(now time.Time, ta fleet.Target, domain string, mean time.Duration) int {
+	sc, load := bo.scores[ta.ID], bo.load(ta)
+	slow := mean > 0 && float64(sc.answer) > slowTarget*float64(mean)
+	switch {
+	case slow || now.Before(sc.until):
+		return resting
+	case now.Sub(sc.used) < warmFor && sc.mine == 0 && load < warmLoad: // one that is asked right now has no connection to spare
+		return warm
+	case ta.Domain == domain && load < nearLoad:
+		return near
+	default:
+		return far
+	}
+}
+
 func (bo *Board) lighter(lhs, rhs fleet.Target) fleet.Target {
 	if bo.load(rhs) < bo.load(lhs) {
 		return rhs
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -116,7 +116,7 @@
 	}
 	en.owner = &runs.Owner{
 		Name: en.name, Domain: se.Domain, Ledger: en.ledger, Index: en.index, Engine: po.Engine, Scorer: en,
-		Current: func() runs.Config { return en.config.Load() }, Clock: clock, Logger: lg, Meters: me, Loop: en.loop,
+		Clock: clock, Logger: lg, Meters: me, Loop: en.loop,
 	}
 	en.owner.Init(en.ctx)
 	return en
--- a/order/guard.go
+++ b/order/guard.go
@@ -216,21 +216,23 @@
 		si.Home = home
 	}
 	gu.release(ctx, re)
-	or, due := Next(si)
-	if due && !gu.acquire(ctx, Slots(len(si.Engines)), or.Version, Needy(re.Versions[si.Home], or.Version)) {
+	gu.advance(ctx, si)
+	if si.Named[si.Home] > re.Versions[si.Home] {
 		return watchful
 	}
-	if due && or.Mode != Wait && gu.Clock.Now().Sub(gu.held.since) < clearWait {
-		return watchful // the owners of its runs see the slot and move them
+	return calm
+}
+
+// advance gives the next order, if one is due and a slot is free for it.
+func (gu *Guard) advance(ctx context.Context, si Situation) {
+	or, due := Next(si)
+	if !due || !gu.acquire(ctx, Slots(len(si.Engines)), or.Version, Needy(si.Report.Versions[si.Home], or.Version)) {
+		return
 	}
-	if !due {
-		if si.Named[si.Home] > re.Versions[si.Home] {
-			return watchful
-		}
-		return calm
+	if or.Mode != Wait && gu.Clock.Now().Sub(gu.held.since) < clearWait {
+		return // the owners of its runs see the slot and move them
 	}
 	gu.order(ctx, or, si)
-	return watchful
 }
 
 // claim writes the guard's row. The version of the first such write is the
--- a/place/place.go
+++ b/place/place.go
@@ -155,11 +155,12 @@
 	return best
 }
 
-func fits(en Engine, it Item) bool {
-	if en.Probing && en.Unproven > 0 { // rule 5
-		return false
-	}
-	return !en.Resting && !en.Loading && !en.Emptying && en.free() > 0 && en.Version >= it.Oldest
+func fits(en Engine, it Item) bool { return open(en) && en.free() > 0 && en.Version >= it.Oldest }
+
+// open tells whether an engine takes items at all.
+func open(en Engine) bool {
+	probed := en.Probing && en.Unproven > 0 // rule 5
+	return !probed && !en.Resting && !en.Loading && !en.Emptying
 }
 
 // lightest is the least load of an engine that the item may go to.
@@ -190,7 +191,7 @@
 func lastResort(engines []Engine, it Item, median time.Duration) int {
 	best := -1
 	for at, en := range engines {
-		if en.Version < it.Oldest || en.Resting || en.Loading || en.Emptying || (en.Probing && en.Unproven > 0) {
+		if en.Version < it.Oldest || !open(en) {
 			continue
 		}
 		if !Slow(en, median) && en.ID != it.Avoid {
--- /dev/null
+++ b/runs/life.go
@@ -0,0 +1,220 @@
+package runs
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"bilberryshelf/batch"
+	"bilberryshelf/conf"
+)
+
+// The reasons for which an entry leaves a job.
+const (
+	ended    = "ended"
+	released = "released"
+	replaced = "another owner"
+	complete = "complete"
+)
+
+// Owns tells whether a job runs here.
+func (ow *Owner) Owns(id string) bool {
+	owns := false
+	ow.Loop.Do(func() { owns = ow.jobs[id] != nil })
+	return owns
+}
+
+// Start takes a job over. Listed names the items whose results stand already.
+func (ow *Owner) Start(body *batch.Job, kn batch.Known, route conf.Route, listed map[string]bool) {
+	ow.Loop.Post(func() {
+		if ow.jobs[body.ID] != nil || !kn.Head.Open() {
+			return
+		}
+		jo := newJob(body, kn, route, listed)
+		ow.jobs[body.ID] = jo
+		level.Info(ow.Logger).Log("msg", "job started", "id", body.ID, "route", route.Name, "model", body.Model, "step", body.Step, //nolint:errcheck
+			"items", len(body.Items), "listed", len(listed), "oldest", body.Oldest, "epoch", kn.Head.Epoch, "age", kn.Head.Age(ow.Clock.Now()))
+		ow.recall(jo)
+	})
+}
+
+// recall looks for texts that an earlier job of the route or a former owner left.
+// The items run meanwhile; one that has less than the text goes on behind it.
+func (ow *Owner) recall(jo *job) {
+	jo.reuse(ow.memory[jo.route.Name])
+	ow.take(jo)
+	wanted := map[string]bool{}
+	for _, it := range jo.items {
+		wanted[it.item.ID] = it.state != done
+	}
+	go func() {
+		call, cancel := context.WithTimeout(ow.ctx, partialsWait)
+		defer cancel()
+		for _, from := range []string{jo.route.Name, jo.body.ID} {
+			stored, err := ow.Ledger.Partials(call, from, jo.body.Step, func(id string) bool { return wanted[id] })
+			if err != nil {
+				level.Warn(ow.Logger).Log("msg", "partial texts not read, items begin anew", "id", jo.body.ID, "from", from, "err", err) //nolint:errcheck
+			}
+			ow.Loop.Post(func() {
+				if used := jo.reuse(stored); used > 0 && !jo.gone {
+					level.Info(ow.Logger).Log("msg", "partial texts reused", "id", jo.body.ID, "from", from, "items", used) //nolint:errcheck
+					ow.take(jo)
+				}
+			})
+		}
+	}()
+}
+
+// take scores the items whose text is whole, and places the others.
+func (ow *Owner) take(jo *job) {
+	for _, it := range jo.items {
+		if it.state == waiting && it.whole {
+			ow.complete(jo, it)
+		}
+	}
+	ow.place()
+}
+
+// End stops the items of a job that was ended through this entry.
+func (ow *Owner) End(id string) {
+	ow.Loop.Post(func() {
+		if jo := ow.jobs[id]; jo != nil {
+			ow.drop(jo, ended)
+		}
+	})
+}
+
+// Idle tells whether no job runs here.
+func (ow *Owner) Idle() bool {
+	idle := true
+	ow.Loop.Do(func() { idle = len(ow.jobs) == 0 })
+	return idle
+}
+
+// Release hands all jobs to the other entries, with what was generated.
+func (ow *Owner) Release(ctx context.Context) {
+	var left []*job
+	ow.Loop.Do(func() {
+		for _, jo := range ow.jobs {
+			left = append(left, jo)
+			ow.drop(jo, released)
+		}
+	})
+	for _, jo := range left {
+		if _, err := ow.Ledger.SavePartials(ctx, jo.body.ID, jo.left); err != nil {
+			level.Warn(ow.Logger).Log("msg", "partial texts not saved", "id", jo.body.ID, "err", err) //nolint:errcheck
+		}
+		kn, _ := ow.Index.Get(jo.body.ID)
+		if kn.Version < jo.known.Version {
+			kn = jo.known
+		}
+		if _, err := ow.Ledger.Adopt(ctx, jo.body.ID, kn, ""); err != nil {
+			level.Warn(ow.Logger).Log("msg", "job not released", "id", jo.body.ID, "err", err) //nolint:errcheck
+		}
+	}
+}
+
+// drop forgets a job and ends its runs. What was generated is kept for a later
+// job.
+func (ow *Owner) drop(jo *job, why string) {
+	delete(ow.jobs, jo.body.ID)
+	jo.gone = true
+	var partials []batch.Partial
+	for _, it := range jo.items {
+		jo.unused = append(jo.unused, it.rows...)
+		if it.run != nil {
+			it.keep(it.run.take(), jo.body.Oldest)
+			it.run.cancel()
+			it.run = nil
+		}
+		if pa, some := it.partial(jo); some && (why == ended || why == released) && !jo.whole(it.item.Group) {
+			partials = append(partials, pa)
+		}
+	}
+	level.Info(ow.Logger).Log("msg", "job left", "id", jo.body.ID, "why", why, "listed", jo.known.Head.Listed, //nolint:errcheck
+		"total", jo.known.Head.Total, "partials", len(partials), "age", jo.known.Head.Age(ow.Clock.Now()))
+	jo.left = partials
+	ow.place()
+	if why == released || why == replaced {
+		return
+	}
+	kept := map[string]batch.Partial{}
+	for at := range partials {
+		partials[at].Rows = nil // they lie under the job, and these under the route
+		kept[partials[at].ID] = partials[at]
+	}
+	ow.memory[jo.route.Name] = kept
+	go func() {
+		_, err := ow.Ledger.SavePartials(ow.ctx, jo.route.Name, partials)
+		if err == nil {
+			err = ow.Ledger.DropRows(ow.ctx, jo.unused)
+		}
+		if err != nil {
+			level.Warn(ow.Logger).Log("msg", "partial texts not saved", "id", jo.body.ID, "err", err) //nolint:errcheck
+		}
+	}()
+}
+
+// follow compares a job with its head as the feed told it.
+func (ow *Owner) follow(jo *job) {
+	kn, found := ow.Index.Get(jo.body.ID)
+	if !found || kn.Version <= jo.known.Version || jo.writing {
+		return
+	}
+	switch {
+	case kn.Head.Epoch != jo.known.Head.Epoch:
+		ow.drop(jo, replaced)
+	case kn.Head.Ended:
+		ow.drop(jo, ended)
+	default:
+		jo.known = kn
+	}
+}
+
+// expire gives up items whose time is over.
+func (ow *Owner) expire(now time.Time, jo *job) {
+	if jo.route.GiveUp <= 0 || jo.known.Head.Age(now) < jo.route.GiveUp+giveUpSlack {
+		return
+	}
+	for _, it := range jo.items {
+		if it.state == waiting || it.state == running {
+			ow.finish(jo, it, batch.Errored, "", "given up")
+		}
+	}
+}
+
+// finish decides on an item.
+func (ow *Owner) finish(jo *job, it *item, state batch.State, score, why string) {
+	if it.run != nil {
+		it.run.cancel()
+		it.run = nil
+	}
+	it.state = done
+	jo.unused = append(jo.unused, it.rows...)
+	jo.results = append(jo.results, it.result(state, score))
+	if jo.since.IsZero() {
+		jo.since = ow.Clock.Now()
+	}
+	if !jo.listing {
+		jo.listing = true
+		ow.later(gather, func() {
+			jo.listing = false
+			if !jo.gone {
+				ow.list(ow.Clock.Now(), jo)
+			}
+		})
+	}
+	now := ow.Clock.Now()
+	age := jo.known.Head.Age(now)
+	ow.Meters.Observe("item", jo.route.Name, age)
+	if state == batch.Completed {
+		level.Info(ow.Logger).Log("msg", "item completed", "job", jo.body.ID, "id", it.item.ID, "events", len(it.events), "hint", it.item.Hint, //nolint:errcheck
+			"age", age, "due", jo.route.Due, "begun", it.begun, "runs", it.runs, "scored-for", now.Sub(it.wholeAt), "carried", it.carried)
+	}
+	if state == batch.Errored {
+		level.Warn(ow.Logger).Log("msg", "item errored", "job", jo.body.ID, "id", it.item.ID, "why", why, //nolint:errcheck
+			"failures", it.failures, "events", len(it.events), "age", jo.known.Head.Age(ow.Clock.Now()))
+		ow.Meters.Count("items-errored", jo.route.Name, 1)
+	}
+}
--- a/table/table.go
+++ b/table/table.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"bilberryshelf/core"
 )
 
 // ID names a row. Part groups the rows that one transaction may touch; it may
@@ -111,11 +109,3 @@
 		ra.From = page.Rows[len(page.Rows)-1].ID.Key + "\x00"
 	}
 }
-
-// AsCoreError turns an outage into a refusal with a verdict.
-func AsCoreError(err error) *core.Error {
-	if errors.Is(err, ErrRefused) {
-		return core.Refuse(core.CodePlatformDown, "the platform's tables refuse calls: %v", err)
-	}
-	return core.Doubt(core.CodePlatformDown, "the platform's tables do not answer: %v", err)
-}
--- a/via/via.go
+++ b/via/via.go
@@ -105,33 +105,28 @@
 }
 
 func (st *Store) call(ctx context.Context, repeat bool, do func(context.Context, table.Caller) error) error {
-	var err error
 	peers := st.order()
+	err := errors.Wrap(table.ErrRefused, "no way to the store is open")
 	if st.direct() || len(peers) == 0 || (repeat && st.mayProbe()) {
 		err = st.once(ctx, st.Direct, do)
 		st.heard(err)
-		if settled(err) || (!repeat && !errors.Is(err, table.ErrRefused)) { // rule 2
-			return err
-		}
 	}
 	for _, pe := range peers {
-		if ctx.Err() != nil {
+		if final(err, repeat) || ctx.Err() != nil {
 			break
 		}
 		if err = st.once(ctx, pe.Store, do); settled(err) {
 			st.remember(pe.Name)
-			return err
-		}
-		if !repeat && !errors.Is(err, table.ErrRefused) {
-			return err
 		}
 	}
-	if err == nil {
-		err = errors.Wrap(table.ErrRefused, "no way to the store is open")
-	}
 	return err
 }
 
+// final tells whether a call must not be tried another way (rule 2).
+func final(err error, repeat bool) bool {
+	return settled(err) || (!repeat && !errors.Is(err, table.ErrRefused))
+}
+
 // once tries one way within a part of the time, so that another may follow.
 func (*Store) once(ctx context.Context, ca table.Caller, do func(context.Context, table.Caller) error) error {
 	if deadline, found := ctx.Deadline(); found {
--- a/via/via_test.go
+++ b/via/via_test.go
@@ -158,6 +158,14 @@
 	require.False(t, errors.Is(err, table.ErrConflict))
 }
 
+// list reads through a store within a second.
+func list(st *via.Store) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err := st.List(ctx, table.Range{Table: "t"})
+	return err
+}
+
 // Soak, seed 4: an entry without live peers lost the store for a while. A feed
 // that lists anew never watches, so nothing probed the closed way again.
 func TestNoPeers(t *testing.T) {
@@ -167,18 +175,12 @@
 		st := &via.Store{
 			Direct: direct, Clock: core.SystemClock{}, Logger: log.NewNopLogger(), Peers: func() []via.Peer { return nil },
 		}
-		list := func() error {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			defer cancel()
-			_, err := st.List(ctx, table.Range{Table: "t"})
-			return err
-		}
 		for range 5 {
-			require.Error(t, list())
+			require.Error(t, list(st))
 		}
 		direct.silent = false
 		time.Sleep(via.ProbeEvery)
-		require.NoError(t, list())
+		require.NoError(t, list(st))
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		_, err := st.Commit(ctx, tx)
@@ -195,17 +197,11 @@
 			Direct: direct, Clock: core.SystemClock{}, Logger: log.NewNopLogger(),
 			Peers: func() []via.Peer { return []via.Peer{{Name: "p", Store: dead}} },
 		}
-		list := func() error {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			defer cancel()
-			_, err := st.List(ctx, table.Range{Table: "t"})
-			return err
-		}
 		for range 5 {
-			require.Error(t, list())
+			require.Error(t, list(st))
 		}
 		direct.silent = false
 		time.Sleep(via.ProbeEvery)
-		require.NoError(t, list())
+		require.NoError(t, list(st))
 	})
 }
