--- a/boot/node.go
+++ b/boot/node.go
@@ -19,31 +19,32 @@
 )
 
 const (
-	// heapShare is the part of the machine's memory at which the collector works
+	// heapShare is the part of the instance's memory at which the collector works
 	// harder; the rest is for stacks, buffers and bytes that are not read yet.
 	heapShare = 0.6
 	// weakCores is the share of a core below which an entry runs no jobs: one takes
-	// about a twentieth of a core, several at once and the collector more.
-	weakCores = 0.3
+	// a twentieth of a core, an entry may have those of all routes, and a start of a
+	// step comes at once.
+	weakCores = 0.5
 	// gcPercent keeps the heap small: memory is paid for by its peak.
 	gcPercent = 50
 )
 
-// boundMemory sets the collector to the machine's memory.
-func boundMemory(ma setup.Machine) {
-	debug.SetMemoryLimit(int64(heapShare * float64(ma.Memory)))
+// boundMemory sets the collector to the instance's memory.
+func boundMemory(in setup.Instance) {
+	debug.SetMemoryLimit(int64(heapShare * float64(in.Memory)))
 	debug.SetGCPercent(gcPercent)
 }
 
 // NodeEntry builds an entry on the platform.
 func NodeEntry(se setup.Hosted, lg log.Logger) (Daemon, error) {
-	boundMemory(se.Machine)
+	boundMemory(se.Instance)
 	me := &meter.Set{}
 	store, targets := platform.NewStore(se.Store.Address), platform.NewTargets()
 	inner := &http.Client{Transport: innerTransport()}
 	en := intake.New(intake.Settings{
 		Node: se.Name, Domain: se.Place.FailureDomain, Inner: se.Listen.Inner, Grace: se.Timing.Grace.Std(),
-		Weak: se.Machine.Cores < weakCores,
+		Weak: se.Instance.Cores < weakCores,
 	}, intake.Ports{
 		Direct: store, Sender: targets, Engine: targets,
 		Dial: func(addr string) table.Caller { return via.NewClient(inner, addr) },
@@ -65,7 +66,7 @@
 
 // NodeGuard builds the guard of an engine on the platform.
 func NodeGuard(se setup.Hosted, lg log.Logger) (Daemon, error) {
-	boundMemory(se.Machine)
+	boundMemory(se.Instance)
 	me := &meter.Set{}
 	gu := &order.Guard{
 		Name: se.Name, Addr: se.Engine.Address, Service: se.Engine.Service,
--- a/calls/calls.go
+++ b/calls/calls.go
@@ -42,8 +42,9 @@
 	MostRefusals = 4
 	// defaultObjective stands in for a route without one.
 	defaultObjective = 500 * time.Millisecond
-	// leastTime is the least time left with which a target is asked.
-	leastTime = 5 * time.Millisecond
+	// leastShare is the part of the objective that must be left for a target to be
+	// asked: in less it could not answer.
+	leastShare = 0.1
 )
 
 // Request is a request to one target of a service.
@@ -147,7 +148,7 @@
 	if !at.launch(ctx) {
 		return Answer{}, at.giveUp()
 	}
-	hedge := at.ca.Clock.After(at.hedgeAfter())
+	hedge := at.ca.Clock.After(at.share(HedgeShare))
 	for {
 		select {
 		case ou := <-at.results:
@@ -169,12 +170,13 @@
 	}
 }
 
-func (at *attempts) hedgeAfter() time.Duration {
+// share is a part of the route's objective.
+func (at *attempts) share(part float64) time.Duration {
 	objective := at.re.Route.Objective
 	if objective <= 0 {
 		objective = defaultObjective
 	}
-	return time.Duration(HedgeShare * float64(objective))
+	return time.Duration(part * float64(objective))
 }
 
 // launch sends the request to one more target, if the rules permit one.
@@ -184,7 +186,7 @@
 	if once || at.sent >= ca.most(at.re) || at.refused >= MostRefusals || ctx.Err() != nil {
 		return false
 	}
-	if at.re.Deadline.Sub(ca.Clock.Now()) < leastTime {
+	if at.re.Deadline.Sub(ca.Clock.Now()) < at.share(leastShare) {
 		return false
 	}
 	ta, found := ca.Board.choose(ca.Clock.Now(), at.service, at.tried, ca.Domain, ca.Draw)
@@ -222,6 +224,9 @@
 // giveUp is the final answer when no target is left to ask.
 func (at *attempts) giveUp() *core.Error {
 	verdict := at.verdict
+	if left := at.re.Deadline.Sub(at.ca.Clock.Now()); verdict == "" && left < at.share(leastShare) {
+		return core.Refuse(core.CodeDeadline, "only %v are left, too little for a target", left)
+	}
 	if verdict == "" || verdict == core.NotRun {
 		wait := at.ca.Board.comeBack(at.ca.Clock.Now(), at.service, at.ca.Draw)
 		return core.Refuse(core.CodeFull, "no target of %s takes the request", at.service).WithRetryAfter(wait)
--- a/calls/calls_test.go
+++ b/calls/calls_test.go
@@ -158,6 +158,19 @@
 	}
 }
 
+// With too little time left no target is asked, and the refusal is true.
+func TestTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ts := &targets{}
+		ca := caller(ts, 3)
+		_, err := ca.Do(context.Background(), request(conf.Idempotent, 20*time.Millisecond))
+		require.NotNil(t, err)
+		require.Equal(t, core.NotRun, err.Verdict)
+		require.Equal(t, core.CodeDeadline, err.Code)
+		require.Empty(t, ts.asked)
+	})
+}
+
 // A caller that leaves takes its request off the targets at once.
 func TestCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/order/guard.go
+++ b/order/guard.go
@@ -56,7 +56,7 @@
 
 // Guard orders one engine. Set the exported fields before Run.
 type Guard struct {
-	// Name is the holder of the orders, the machine.
+	// Name is the holder of the orders, the instance.
 	Name string
 	// Addr is the engine's address, Service its service.
 	Addr    string
@@ -93,13 +93,13 @@
 
 const (
 	// watchful is the pause between reports while a version is to be loaded, and
-	// calm otherwise. Reports from the engine's own machine are free.
+	// calm otherwise. Reports from the engine's own instance are free.
 	watchful = 100 * time.Millisecond
 	calm     = 300 * time.Millisecond
 	// clearWait is how long an engine with runs waits under its slot for their
 	// owners to move them: a feed's turn and a report.
 	clearWait = 500 * time.Millisecond
-	// reportTimeout bounds a report from the own machine.
+	// reportTimeout bounds a report from the own instance.
 	reportTimeout = 500 * time.Millisecond
 	// orderTimeout bounds an order: the engine answers before it loads.
 	orderTimeout = 700 * time.Millisecond
--- a/setup/hosted.go
+++ b/setup/hosted.go
@@ -3,13 +3,13 @@
 // Hosted is the settings of a process on the platform: an entry, or the guard of
 // an engine. Its template is filled in by the platform.
 type Hosted struct {
-	Name    string     `toml:"name"`
-	Place   Place      `toml:"place"`
-	Listen  NodeListen `toml:"listen"`
-	Store   NodeStore  `toml:"store"`
-	Machine Machine    `toml:"machine"`
-	Engine  NodeEngine `toml:"engine"`
-	Timing  NodeTiming `toml:"timing"`
+	Name     string     `toml:"name"`
+	Place    Place      `toml:"place"`
+	Listen   NodeListen `toml:"listen"`
+	Store    NodeStore  `toml:"store"`
+	Instance Instance   `toml:"instance"`
+	Engine   NodeEngine `toml:"engine"`
+	Timing   NodeTiming `toml:"timing"`
 }
 
 // NodeListen is the addresses that a process serves. A guard serves only
@@ -26,8 +26,8 @@
 	Address string `toml:"address"`
 }
 
-// Machine is what the process may use.
-type Machine struct {
+// Instance is what the process may use.
+type Instance struct {
 	Memory Size    `toml:"memory"`
 	Cores  float64 `toml:"cores"`
 }
@@ -71,8 +71,8 @@
 	no.Place.check(ch)
 	ch.address(no.Listen.Metrics, "listen.metrics")
 	ch.address(no.Store.Address, "store.address")
-	ch.need(no.Machine.Memory > 0, "machine.memory", "must be more than 0B")
-	ch.need(no.Machine.Cores > 0, "machine.cores", "must be more than 0")
+	ch.need(no.Instance.Memory > 0, "instance.memory", "must be more than 0B")
+	ch.need(no.Instance.Cores > 0, "instance.cores", "must be more than 0")
 	ch.need(no.Timing.Grace > 0, "timing.grace", "must be more than 0s")
 	check(no, ch)
 	return no, ch.result()
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -146,7 +146,7 @@
 [place]
 region = "r"
 failure-domain = "z"
-[machine]
+[instance]
 memory = "200MiB"
 cores = 1.0
 [timing]
--- a/subcmd/node.go
+++ b/subcmd/node.go
@@ -33,7 +33,7 @@
 		return exit(ExitUsage, err)
 	}
 	lg = log.With(lg, "node", se.Name)
-	level.Info(lg).Log("msg", "starting", "domain", se.Place.FailureDomain, "memory", int64(se.Machine.Memory), "cores", se.Machine.Cores) //nolint:errcheck
+	level.Info(lg).Log("msg", "starting", "domain", se.Place.FailureDomain, "memory", int64(se.Instance.Memory), "cores", se.Instance.Cores) //nolint:errcheck
 	hups := make(chan os.Signal, 1)
 	signal.Notify(hups, syscall.SIGHUP)
 	go func() {
