--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -187,6 +187,41 @@
 	return err
 }
 
+// Forget drops all rows of a job as it is known, the head last: a job that is half
+// dropped is still known and is dropped again.
+func (le Ledger) Forget(ctx context.Context, job string, kn Known) error {
+	for _, name := range []string{BodyTable, ResultTable} {
+		if err := le.forget(ctx, below(name, job, "")); err != nil {
+			return errors.Wrapf(err, "forget job %s", job)
+		}
+	}
+	if err := le.forget(ctx, table.Range{Table: PartialTable, Part: job}); err != nil {
+		return errors.Wrapf(err, "forget job %s", job)
+	}
+	return le.write(ctx, table.Tx{
+		Expect: []table.Expect{{ID: HeadID(job), Version: kn.Version}}, Drops: []table.ID{HeadID(job)},
+	})
+}
+
+// forget drops the rows of a range, a page at a time.
+func (le Ledger) forget(ctx context.Context, ra table.Range) error {
+	for {
+		call, cancel := le.bound(ctx)
+		page, err := le.Store.List(call, ra)
+		cancel()
+		if err != nil || len(page.Rows) == 0 {
+			return err
+		}
+		ids := make([]table.ID, len(page.Rows))
+		for at, ro := range page.Rows {
+			ids[at] = ro.ID
+		}
+		if err := le.DropRows(ctx, ids); err != nil {
+			return err
+		}
+	}
+}
+
 // SavePartials keeps partial texts for another owner or a later job of the same
 // route, and drops the rows that they lay in before. It returns where each lies.
 func (le Ledger) SavePartials(ctx context.Context, route string, partials []Partial) (map[string][]table.ID, error) {
@@ -218,11 +253,11 @@
 	return lies, le.DropRows(ctx, drops)
 }
 
-// DropRows drops rows of partial texts that are no longer of use.
+// DropRows drops rows that are no longer of use.
 func (le Ledger) DropRows(ctx context.Context, ids []table.ID) error {
 	for from := 0; from < len(ids); from += txRows {
 		if err := le.write(ctx, table.Tx{Drops: ids[from:min(from+txRows, len(ids))]}); err != nil {
-			return errors.Wrap(err, "drop partial texts")
+			return errors.Wrap(err, "drop rows")
 		}
 	}
 	return nil
--- a/batch/ledger_test.go
+++ b/batch/ledger_test.go
@@ -207,6 +207,36 @@
 	require.False(t, batch.Partial{Events: []string{"x"}, Versions: []uint64{2}}.Fits(3))
 }
 
+// A forgotten job leaves no row, and its neighbours stay.
+func TestForget(t *testing.T) {
+	ctx := context.Background()
+	rows := &fake.Rows{}
+	le := batch.Ledger{Store: rows}
+	kn := accept(t, le, job(30, 60000))
+	ap, _ := batch.NewAppend("j1", kn, results(0, 5, 70000))
+	kn, err := le.Commit(ctx, ap)
+	require.NoError(t, err)
+	other := job(2, 10)
+	other.ID = "j10" // a key that begins alike
+	accept(t, le, other)
+	_, err = le.SavePartials(ctx, "j1", []batch.Partial{{ID: "i9", Events: []string{"x"}, Versions: []uint64{1}}})
+	require.NoError(t, err)
+	require.NoError(t, le.Forget(ctx, "j1", kn))
+	kn, err = le.Find(ctx, "j1")
+	require.NoError(t, err)
+	require.Zero(t, kn.Version)
+	for _, name := range []string{batch.BodyTable, batch.ResultTable, batch.PartialTable} {
+		for _, part := range append(batch.Parts(), "j1") {
+			page, err := rows.List(ctx, table.Range{Table: name, Part: part, From: "j1/", To: "j10"})
+			require.NoError(t, err)
+			require.Empty(t, page.Rows, name)
+		}
+	}
+	body, err := le.Body(ctx, "j10")
+	require.NoError(t, err)
+	require.Equal(t, other, body)
+}
+
 func TestCheck(t *testing.T) {
 	for name, spoil := range map[string]func(*batch.Job){
 		"no id":       func(jo *batch.Job) { jo.ID = "" },
--- /dev/null
+++ b/intake/forget.go
@@ -0,0 +1,26 @@
+package intake
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+// KeepFor is how long after its submission a job stays readable: five times the
+// longest that the platform asks for.
+const KeepFor = 10 * time.Minute
+
+// forgetOld drops one job that need not be kept any longer from the store. The
+// home of the job's route does so.
+func (en *Entry) forgetOld(ctx context.Context) {
+	now := en.clock.Now()
+	for job, kn := range en.index.All() {
+		if kn.Head.Age(now) < KeepFor || en.home(kn.Head.Route).Name != en.name {
+			continue
+		}
+		err := en.ledger.Forget(ctx, job, kn)
+		level.Info(en.logger).Log("msg", "job forgotten", "id", job, "age", kn.Head.Age(now), "listed", kn.Head.Listed, "err", err) //nolint:errcheck
+		return
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -368,5 +368,6 @@
 			en.publish()
 		}
 		en.adoptOrphans(ctx)
+		en.forgetOld(ctx)
 	}
 }
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -11,6 +11,7 @@
 	"bilberryshelf/batch"
 	"bilberryshelf/core"
 	"bilberryshelf/fake"
+	"bilberryshelf/intake"
 	"bilberryshelf/runs"
 )
 
@@ -56,6 +57,22 @@
 	})
 }
 
+// A job is dropped from the store long after its results had to be readable.
+func TestForget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo := newWorld(t, 2)
+		defer wo.stop()
+		jo := job("j1", 2)
+		require.Nil(t, wo.submit(0, jo))
+		time.Sleep(intake.KeepFor - time.Minute)
+		wo.whole(1, jo)
+		time.Sleep(2 * time.Minute)
+		_, err := wo.entries[1].Results(context.Background(), "j1", 0, 0)
+		require.NotNil(t, err)
+		require.Equal(t, core.CodeUnknownJob, err.Code)
+	})
+}
+
 // A read waits for a result, and an early one comes as soon as it is listed.
 func TestReadWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
