core, runs: the loop never waits for itself

Found in reading: place posts to the loop from the loop; with 1,024 functions waiting (a step of 2,048 samples that ends at once) it would wait for itself for ever. With a full loop the next tick places.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -60,3 +60,22 @@
 	<-lo.Done()
 	require.False(t, lo.Do(func() {}))
 }
+
+// A function on the loop that posts another one never waits for itself.
+func TestLoopPostsToItself(t *testing.T) {
+	lo := core.NewLoop()
+	refused := 0
+	lo.Post(func() {
+		for range 5000 {
+			if !lo.TryPost(func() {}) {
+				refused++
+			}
+		}
+	})
+	stop := make(chan struct{})
+	go lo.Run(stop)
+	require.True(t, lo.Do(func() {}))
+	close(stop)
+	<-lo.Done()
+	require.Positive(t, refused)
+}
--- a/core/loop.go
+++ b/core/loop.go
@@ -57,5 +57,16 @@
 	}
 }
 
+// TryPost runs a function on the loop without waiting for it, unless too many
+// wait already. The loop itself must use it: it would wait for itself in Post.
+func (lo *Loop) TryPost(call func()) bool {
+	select {
+	case lo.calls <- call:
+		return true
+	default:
+		return false
+	}
+}
+
 // Done closes when the loop has ended.
 func (lo *Loop) Done() <-chan struct{} { return lo.done }
--- a/runs/step.go
+++ b/runs/step.go
@@ -41,13 +41,12 @@
 }
 
 // place starts waiting items on engines with room. Calls within one turn of the
-// loop are joined.
+// loop are joined. With a full loop the next tick places them.
 func (ow *Owner) place() {
 	if ow.placing {
 		return
 	}
-	ow.placing = true
-	ow.Loop.Post(func() {
+	ow.placing = ow.Loop.TryPost(func() {
 		ow.placing = false
 		now := ow.Clock.Now()
 		for _, jo := range ow.byDue() {
