--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -81,15 +81,29 @@
 	return li.Addr().String()
 }
 
-// freeAddrs returns addresses that differ: each is held until all are known.
+const (
+	// firstPort to lastPort lie below the ports that the system hands out to
+	// connections and to servers of other tests, which would take one between its
+	// choice and its use.
+	firstPort = 10000
+	lastPort  = 32000
+	// portsEach is the room of one run; runs beside each other begin apart.
+	portsEach = 64
+)
+
+// freeAddrs returns addresses that differ.
 func freeAddrs(t *testing.T, count int) []string {
 	t.Helper()
 	var addrs []string
-	for range count {
-		li, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer li.Close() //nolint:errcheck // only its number was wanted
-		addrs = append(addrs, li.Addr().String())
+	port := firstPort + os.Getpid()*portsEach%(lastPort-firstPort)
+	for ; len(addrs) < count; port++ {
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		li, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		require.NoError(t, li.Close())
+		addrs = append(addrs, addr)
 	}
 	return addrs
 }
