soak: the counts of a run are read under their lock

Cause: at a run's end the test read the map of requests that began, and the list of broken promises, without the lock, while targets still served what their caller had given up. Ruled out: the stand-ins (each field of theirs is read under their lock).

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -87,8 +87,8 @@
 			wo.broken("no two steps were whole within 25 s after the last fault")
 		}
 		wo.audit(tr)
-		t.Logf("faults: %s; steps: %d, requests: %d", strings.Join(in.done, ", "), tr.count(), len(wo.seen))
-		require.Empty(t, wo.faults)
+		t.Logf("faults: %s; steps: %d, requests: %d", strings.Join(in.done, ", "), tr.count(), wo.begun())
+		require.Empty(t, wo.found())
 	})
 }
 
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -71,6 +72,21 @@
 	return wo.seen[id]
 }
 
+// begun is how many requests and items began to run. Targets may still serve
+// what their caller has given up.
+func (wo *world) begun() int {
+	wo.mutex.Lock()
+	defer wo.mutex.Unlock()
+	return len(wo.seen)
+}
+
+// found lists the broken promises.
+func (wo *world) found() []string {
+	wo.mutex.Lock()
+	defer wo.mutex.Unlock()
+	return slices.Clone(wo.faults)
+}
+
 func listen(t *testing.T, handler http.Handler) string {
 	t.Helper()
 	li, err := net.Listen("tcp", "127.0.0.1:0")
