guard: a leaving guard stays until its entries know

A request that an entry had sent just before was cut by the close, and the settle question after it found nobody; so the answer was may-have-run, where the other target could have served. Ruled out: settling by the next incarnation, whose address is not known while the list lags; sending again after a cut, which may run a check twice. Now the guard goes on refusing and answering questions until each entry that greets it has said hello twice since it began to leave (the second shows that the entry acted on the first), bounded by timing.drain-notice (5 s). In a trial world guards are now closed before entries, so that none waits for entries that are gone.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -79,6 +79,7 @@
 	contact  time.Time
 	deaths   []death
 	probing  chan struct{}
+	greeters greeters
 	loaded   versions
 }
 
@@ -157,13 +158,22 @@
 // drainCheck is the time between two looks at what still runs.
 const drainCheck = 50 * time.Millisecond
 
+// drain waits until nothing runs and the entries know that the guard leaves.
+// A guard that closed earlier would cut requests that are on their way to it,
+// and no one could say what became of them.
 func (gu *Guard) drain() {
+	began := gu.clock.Now()
 	gu.loop.Do(func() { gu.phase = core.Draining })
 	level.Info(gu.logger).Log("event", "draining")
 	for {
-		left := 0
-		gu.loop.Do(func() { left = len(gu.running) })
-		if left == 0 {
+		left, unaware := 0, 0
+		gu.loop.Do(func() {
+			left = len(gu.running)
+			unaware = gu.greeters.unaware(began, gu.settings.Timing.DrainNotice.Std())
+		})
+		waited := gu.clock.Now().Sub(began)
+		if left == 0 && (unaware == 0 || waited >= gu.settings.Timing.DrainNotice.Std()) {
+			level.Info(gu.logger).Log("event", "drained", "took", waited, "entries-unaware", unaware)
 			return
 		}
 		<-gu.clock.After(drainCheck)
--- a/guard/hello.go
+++ b/guard/hello.go
@@ -20,6 +20,7 @@
 	gu.loop.Do(func() {
 		if !req.StateOnly {
 			gu.contact = gu.clock.Now()
+			gu.greeters.greet(req.Entry, gu.contact, gu.phase)
 		}
 		for _, key := range req.Released {
 			gu.table.Release(key)
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -162,6 +162,9 @@
 	ClockSkew     Duration `toml:"clock-skew"`
 	HealthEvery   Duration `toml:"health-every"`
 	HealthTimeout Duration `toml:"health-timeout"`
+	// DrainNotice is the longest that a guard that leaves waits for its entries to
+	// learn of it: two hellos of each and a second.
+	DrainNotice Duration `toml:"drain-notice"`
 }
 
 // DefaultEntry is the settings of an entry before its file is read.
@@ -190,7 +193,7 @@
 		Timing: GuardTiming{
 			Grace: span(30 * time.Second), KeyHold: span(10 * time.Minute), LongestRun: span(15 * time.Minute),
 			LongestOrder: span(20 * time.Second), LostContact: span(15 * time.Second), ClockSkew: span(2 * time.Second),
-			HealthEvery: span(time.Second), HealthTimeout: span(time.Second),
+			HealthEvery: span(time.Second), HealthTimeout: span(time.Second), DrainNotice: span(5 * time.Second),
 		},
 	}
 }
--- a/trial/world.go
+++ b/trial/world.go
@@ -264,17 +264,20 @@
 
 // Close drains what runs and ends everything.
 func (wo *World) Close() {
-	for _, no := range wo.entries {
-		no.Part.Stop()
-		<-no.Part.Done()
-		no.Kill()
-	}
+	// Guards first, all at once: each waits until the entries know that it leaves.
 	for _, ta := range wo.targets {
 		ta.Guard.Part.Stop()
+	}
+	for _, ta := range wo.targets {
 		<-ta.Guard.Part.Done()
 		ta.Guard.Kill()
 		ta.server.Abort()
 	}
+	for _, no := range wo.entries {
+		no.Part.Stop()
+		<-no.Part.Done()
+		no.Kill()
+	}
 	for _, cl := range wo.closers {
 		cl()
 	}
