calls, platform: streams are passed on event by event

Cause: routes of kind streaming were answered whole at their end, so that the first event came as late as the last, a client would have left before it, and a cut stream was an error instead of going on behind its last event. Now a stream has one target at a time; refusals lead elsewhere at once; a resumable one goes on behind its last whole event after a cut or 1 s of silence, under the first target's headers; any other is broken off so that it never looks whole. A slow reader holds up its target, not our memory. Ruled out: a second target beside the first (a stream may run once).

--- a/boot/node.go
+++ b/boot/node.go
@@ -46,7 +46,7 @@
 		Node: se.Name, Domain: se.Place.FailureDomain, Inner: se.Listen.Inner, Grace: se.Timing.Grace.Std(),
 		Weak: se.Instance.Cores < weakCores,
 	}, intake.Ports{
-		Direct: store, Sender: targets, Engine: targets,
+		Direct: store, Sender: targets, Streamer: targets, Engine: targets,
 		Dial: func(addr string) table.Caller { return via.NewClient(inner, addr) },
 		Starter: func(addr string) intake.Starter {
 			return wireconnect.NewJobServiceClient(inner, "http://"+addr)
--- a/calls/calls.go
+++ b/calls/calls.go
@@ -16,6 +16,11 @@
 //  4. No request is run by more targets than its route permits.
 //  5. A request that may run only once is never sent again after a doubt.
 //  6. A target that fails rests, longer each time in a row.
+//  7. A stream is passed on event by event and is never sent to two targets at
+//     once. One that may be resumed goes on at another target behind its last
+//     whole event when its target breaks off or is silent for streamStall; what
+//     the caller sees is one answer with the headers of the first target.
+//  8. A stream that can't go on is broken off, so that it never looks whole.
 package calls
 
 import (
@@ -59,8 +64,8 @@
 	Route  conf.Route
 	// Deadline is when the caller leaves or the route's bound is reached.
 	Deadline time.Time
-	// Bounded tells that the caller sent a deadline.
-	Bounded bool
+	// After is the id of the last event that the caller has of a stream.
+	After int
 }
 
 // Answer is the whole answer of a target.
@@ -84,6 +89,8 @@
 // Caller serves requests. Set all fields; the zero Board works.
 type Caller struct {
 	Sender Sender
+	// Streamer is needed for streams only.
+	Streamer Streamer
 	Clock  core.Clock
 	Logger log.Logger
 	Meters *meter.Set
@@ -179,24 +186,39 @@
 	return time.Duration(part * float64(objective))
 }
 
-// launch sends the request to one more target, if the rules permit one.
-func (at *attempts) launch(ctx context.Context) bool {
+// next takes one more target, if the rules permit one.
+func (at *attempts) next(ctx context.Context) (fleet.Target, bool) {
 	ca := at.ca
-	once := at.re.Route.Kind != conf.Idempotent && at.verdict != "" && at.verdict != core.NotRun // rule 5
-	if once || at.sent >= ca.most(at.re) || at.refused >= MostRefusals || ctx.Err() != nil {
-		return false
+	doubt := at.verdict != "" && at.verdict != core.NotRun
+	if (doubt && !repeatable(at.re.Route)) || at.sent >= ca.most(at.re) || at.refused >= MostRefusals || ctx.Err() != nil {
+		return fleet.Target{}, false
 	}
 	if at.re.Deadline.Sub(ca.Clock.Now()) < at.share(leastShare) {
-		return false
+		return fleet.Target{}, false
 	}
 	ta, found := ca.Board.choose(ca.Clock.Now(), at.service, at.tried, ca.Domain, ca.Draw)
 	if !found {
-		return false
+		return fleet.Target{}, false
 	}
 	at.tried = append(at.tried, ta.ID)
 	at.sent++
-	at.open++
 	ca.Board.begin(ta.ID)
+	return ta, true
+}
+
+// repeatable tells whether a request may be sent again after a doubt (rule 5).
+func repeatable(ro conf.Route) bool {
+	return ro.Kind == conf.Idempotent || (ro.Kind == conf.Stream && ro.Resumable)
+}
+
+// launch sends the request to one more target, if the rules permit one.
+func (at *attempts) launch(ctx context.Context) bool {
+	ca := at.ca
+	ta, found := at.next(ctx)
+	if !found {
+		return false
+	}
+	at.open++
 	go func() {
 		began := ca.Clock.Now()
 		answer, err := ca.Sender.Send(ctx, ta, at.re)
--- /dev/null
+++ b/calls/stream.go
@@ -0,0 +1,194 @@
+package calls
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"bilberryshelf/core"
+	"bilberryshelf/fleet"
+)
+
+const (
+	// streamGap is the shortest pause after which clients of the platform abandon
+	// a stream, by the platform's page.
+	streamGap = 2 * time.Second
+	// streamStall is the silence after which a stream goes on elsewhere: half of
+	// that pause, so that the other target has the rest.
+	streamStall = streamGap / 2
+	// streamLook is the time between two looks for a target with room while a
+	// stream waits to go on.
+	streamLook = fullRest
+)
+
+// Sink takes a stream as it comes. It is used by one goroutine at a time.
+type Sink interface {
+	// Begin takes the status and headers, once.
+	Begin(an Answer)
+	// Event takes the bytes of one whole event, or of a body that has none. An
+	// error means that the caller has gone.
+	Event(raw []byte) error
+}
+
+// Streamer sends a request whose answer is events. It goes on behind event
+// after, and tells begin of the head of a sound answer and event of each whole
+// event with its id. Its errors are those of a Sender; nil means that the
+// answer came to its end.
+type Streamer interface {
+	Stream(ctx context.Context, ta fleet.Target, re Request, after int, begin func(an Answer) error, event func(id int, raw []byte) error) error
+}
+
+// stream is the state of one stream.
+type stream struct {
+	*attempts
+	sink   Sink
+	begun  bool
+	events int
+	// after is the id of the last event that was passed on.
+	after int
+	// heard is when that was, or when the request came.
+	heard time.Time
+	first time.Duration
+}
+
+// Stream serves a request by events (rules 7 and 8). An error after the first
+// byte means that the answer must be broken off.
+func (ca *Caller) Stream(ctx context.Context, re Request, sink Sink) *core.Error {
+	started := ca.Clock.Now()
+	ctx, cancel := context.WithDeadline(ctx, re.Deadline)
+	defer cancel()
+	st := &stream{attempts: &attempts{ca: ca, re: re, service: re.Route.Pick(ca.Draw)}, sink: sink, after: re.After, heard: started}
+	err := st.run(ctx, started)
+	ca.Meters.Observe("request", re.Route.Name, ca.Clock.Now().Sub(started))
+	targets := strings.Join(st.tried, ",")
+	if err == nil {
+		ca.Meters.Count("requests-answered", re.Route.Name, 1)
+		level.Info(ca.Logger).Log("msg", "request answered", "id", re.ID, "route", re.Route.Name, "targets", targets, //nolint:errcheck
+			"refused-by", st.refused, "events", st.events, "first", st.first, "took", ca.Clock.Now().Sub(started))
+		return nil
+	}
+	ca.Meters.Count("requests-refused", string(err.Code), 1)
+	level.Warn(ca.Logger).Log("msg", "request not served", "id", re.ID, "route", re.Route.Name, "service", st.service, //nolint:errcheck
+		"targets", targets, "sent", st.sent, "refused-by", st.refused, "events", st.events, "after", st.after,
+		"verdict", err.Verdict, "code", err.Code, "text", err.Text, "took", ca.Clock.Now().Sub(started))
+	return err
+}
+
+// run makes the attempts of a stream, one after the other.
+func (st *stream) run(ctx context.Context, started time.Time) *core.Error {
+	for {
+		ta, found := st.next(ctx)
+		switch {
+		case found:
+		case st.waits(ctx):
+			continue
+		default:
+			return st.ended(ctx)
+		}
+		err := core.AsError(st.attempt(ctx, ta, started))
+		if err == nil {
+			return nil
+		}
+		st.sound(outcome{err: err})
+		if gone(err) {
+			return err
+		}
+		if st.begun && repeatable(st.re.Route) {
+			level.Info(st.ca.Logger).Log("msg", "stream goes on elsewhere", "id", st.re.ID, "from", ta.ID, "after", st.after, //nolint:errcheck
+				"silent", st.ca.Clock.Now().Sub(st.heard), "code", err.Code, "text", err.Text)
+		}
+	}
+}
+
+// waits pauses before another look for a target, if the stream has begun, the
+// route permits another attempt, and its caller is still there.
+func (st *stream) waits(ctx context.Context) bool {
+	if !st.begun || !repeatable(st.re.Route) || st.sent >= st.ca.most(st.re) || st.ca.Clock.Now().Sub(st.heard) >= streamGap {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-st.ca.Clock.After(streamLook):
+		st.tried, st.refused = nil, 0
+		return true
+	}
+}
+
+func (st *stream) ended(ctx context.Context) *core.Error {
+	if ctx.Err() != nil {
+		return st.late()
+	}
+	return st.giveUp()
+}
+
+// attempt reads a stream from one target. A silent target is left by rule 7, or
+// when the time to the first event is over.
+func (st *stream) attempt(ctx context.Context, ta fleet.Target, started time.Time) error {
+	ca := st.ca
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	began := ca.Clock.Now()
+	var (
+		stalled atomic.Bool
+		first   time.Duration
+	)
+	watch := time.AfterFunc(st.patience(started), func() { stalled.Store(true); cancel() })
+	defer watch.Stop()
+	err := ca.Streamer.Stream(ctx, ta, st.re, st.after, st.begin, func(id int, raw []byte) error {
+		watch.Stop() // a slow reader is no silent target
+		if first == 0 {
+			first = ca.Clock.Now().Sub(began)
+		}
+		if st.events == 0 {
+			st.first = ca.Clock.Now().Sub(started)
+			ca.Meters.Observe("first-event", st.re.Route.Name, st.first)
+		}
+		if err := st.sink.Event(raw); err != nil {
+			return core.Doubt(core.CodeAnswerDropped, "the caller has gone: %v", err)
+		}
+		st.events++
+		st.after, st.heard = max(st.after, id), ca.Clock.Now()
+		if repeatable(st.re.Route) {
+			watch.Reset(streamStall)
+		}
+		return nil
+	})
+	if err != nil && stalled.Load() {
+		err = core.Doubt(core.CodeTargetLost, "target %s is silent", ta.ID)
+	}
+	ou := outcome{target: ta, err: core.AsError(err), took: first}
+	ca.Board.end(ca.Clock.Now(), ta.ID, ou, gone(ou.err) || (ctx.Err() != nil && !stalled.Load()))
+	return err
+}
+
+// gone tells that the caller left.
+func gone(err *core.Error) bool { return err != nil && err.Code == core.CodeAnswerDropped }
+
+// patience is how long a target may be silent before its first event.
+func (st *stream) patience(started time.Time) time.Duration {
+	wait := st.re.Deadline.Sub(st.ca.Clock.Now())
+	if bound := st.re.Route.Timeout; bound > 0 && !st.begun {
+		wait = min(wait, bound-st.ca.Clock.Now().Sub(started))
+	}
+	if repeatable(st.re.Route) {
+		wait = min(wait, max(streamStall, st.share(1)))
+	}
+	return wait
+}
+
+// begin passes the first head on. A later one must be that of a stream.
+func (st *stream) begin(an Answer) error {
+	switch {
+	case !st.begun:
+		st.begun = true
+		st.sink.Begin(an)
+	case an.Status != http.StatusOK:
+		return core.Doubt(core.CodeAnswerCut, "the stream was not resumed: status %d", an.Status)
+	}
+	return nil
+}
--- a/intake/calls.go
+++ b/intake/calls.go
@@ -17,6 +17,11 @@
 	return en.caller.Do(ctx, re)
 }
 
+// Stream serves a request whose answer is events.
+func (en *Entry) Stream(ctx context.Context, re calls.Request, sink calls.Sink) *core.Error {
+	return en.caller.Stream(ctx, re, sink)
+}
+
 const (
 	// scoreTimes is how many times its objective a scoring call may take.
 	scoreTimes = 4
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -86,6 +86,8 @@
 type Ports struct {
 	Direct table.Watcher
 	Sender calls.Sender
+	// Streamer serves routes whose answers are events.
+	Streamer calls.Streamer
 	Engine runs.Engine
 	// Dial reaches the tables through the peer at an inner address.
 	Dial func(addr string) table.Caller
@@ -112,7 +114,7 @@
 	en.store = &via.Store{Direct: po.Direct, Peers: en.peers, Clock: clock, Logger: lg}
 	en.ledger = batch.Ledger{Store: en.store}
 	en.caller = &calls.Caller{
-		Sender: po.Sender, Clock: clock, Logger: lg, Meters: me, Domain: se.Domain, Draw: rand.IntN, Board: en.board,
+		Sender: po.Sender, Streamer: po.Streamer, Clock: clock, Logger: lg, Meters: me, Domain: se.Domain, Draw: rand.IntN, Board: en.board,
 	}
 	en.owner = &runs.Owner{
 		Name: en.name, Domain: se.Domain, Ledger: en.ledger, Index: en.index, Engine: po.Engine, Scorer: en,
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -88,12 +88,18 @@
 		}
 		wo.audit(tr)
 		t.Logf("faults: %s; steps: %d, requests: %d", strings.Join(in.done, ", "), tr.count(), wo.begun())
+		t.Logf("answered: %v", wo.served)
 		require.Empty(t, wo.found())
 	})
 }
 
 // audit checks what can only be told at the end.
 func (wo *world) audit(tr *trainer) {
+	for _, kind := range kinds {
+		if wo.served[kind] == 0 {
+			wo.broken("no request of kind %s was ever answered", kind)
+		}
+	}
 	for _, ta := range wo.engines {
 		for _, fault := range ta.Faults() {
 			wo.broken("%s: %s", ta.ID, fault)
@@ -113,11 +119,14 @@
 	}
 }
 
+// kinds are the paths of plain requests and streams.
+var kinds = []string{"look", "once", "flow"}
+
 // call sends plain requests and checks each answer.
 func (wo *world) call(ctx context.Context, rng *rand.Rand, worker int) {
 	cl := client()
 	for turn := 0; ctx.Err() == nil; turn++ {
-		kind := []string{"look", "once"}[rng.IntN(2)]
+		kind := kinds[rng.IntN(len(kinds))]
 		id := fmt.Sprintf("r%d-%d", worker, turn)
 		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+wo.fronts[rng.IntN(entries)]+"/"+kind+"/x", strings.NewReader("body-"+id))
 		if err != nil {
@@ -130,6 +139,7 @@
 		res, err := cl.Do(req)
 		if err == nil {
 			wo.judge(id, kind, res)
+			wo.count(kind, res.StatusCode)
 		}
 		if kind == "once" && wo.ran(id) > 1 {
 			wo.broken("request %s ran %d times", id, wo.ran(id))
@@ -138,16 +148,29 @@
 	}
 }
 
+// events is the whole stream of a request.
+func events(id string) string {
+	var text strings.Builder
+	for at, line := range stand.Text(id) {
+		fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", at+1, line)
+	}
+	return text.String()
+}
+
 func (wo *world) judge(id, kind string, res *http.Response) {
 	defer res.Body.Close() //nolint:errcheck // a failed close of a read body loses nothing
 	body, err := io.ReadAll(res.Body)
 	switch {
 	case err != nil:
+	case res.StatusCode == http.StatusOK && kind == "flow":
+		if string(body) != events(id) || res.Header.Get("Bilberryshelf-Response-Stamp") != "stamp-"+id {
+			wo.broken("stream %s looks whole and is not: %.80q", id, body)
+		}
 	case res.StatusCode == http.StatusOK:
 		if string(body) != "body-"+id || res.Header.Get("Bilberryshelf-Response-Stamp") != "stamp-"+id {
 			wo.broken("request %s got another's answer: %.80q", id, body)
 		}
-	case res.StatusCode == http.StatusServiceUnavailable && kind == "once":
+	case res.StatusCode == http.StatusServiceUnavailable && kind != "look":
 		if wo.ran(id) > 0 {
 			wo.broken("request %s was refused and has run", id)
 		}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -55,7 +55,9 @@
 
 	mutex sync.Mutex
 	// seen counts how often each request or item began to run.
-	seen   map[string]int
+	seen map[string]int
+	// served counts answers with 200 by kind.
+	served map[string]int
 	faults []string
 }
 
@@ -72,6 +74,14 @@
 	return wo.seen[id]
 }
 
+func (wo *world) count(kind string, status int) {
+	wo.mutex.Lock()
+	defer wo.mutex.Unlock()
+	if status == http.StatusOK {
+		wo.served[kind]++
+	}
+}
+
 // begun is how many requests and items began to run. Targets may still serve
 // what their caller has given up.
 func (wo *world) begun() int {
@@ -125,7 +135,7 @@
 }
 
 func newWorld(t *testing.T, binary string) *world {
-	wo := &world{t: t, dir: t.TempDir(), binary: binary, rows: &fake.Rows{}, seen: map[string]int{}}
+	wo := &world{t: t, dir: t.TempDir(), binary: binary, rows: &fake.Rows{}, seen: map[string]int{}, served: map[string]int{}}
 	store := listen(t, stand.Store(wo.rows))
 	seen := func(id string) {
 		wo.mutex.Lock()
@@ -168,7 +178,8 @@
 const config = `{"version":1,"routes":[
 {"name":"train","host":"h","path_prefix":"/train/","kind":"rollout","target_latency_ms":500,"deadline_ms":7500,"item_ttl_s":120,"max_attempts":3,"service":"lm"},
 {"name":"look","host":"h","path_prefix":"/look/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":250,"max_attempts":3,"service":"desk"},
-{"name":"once","host":"h","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":250,"max_attempts":3,"service":"desk"}],
+{"name":"once","host":"h","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":250,"max_attempts":3,"service":"desk"},
+{"name":"flow","host":"h","path_prefix":"/flow/","kind":"streaming","resumable":true,"timeout_ms":2000,"target_latency_ms":500,"max_attempts":3,"service":"lm"}],
 "services":[{"name":"lm","engine":{"slots":6,"kv_capacity":100000,"models":[{"name":"m"}]}},{"name":"desk"}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
