--- a/boot/node.go
+++ b/boot/node.go
@@ -37,9 +37,8 @@
 }
 
 // NodeEntry builds an entry on the platform.
-func NodeEntry(se setup.Hosted, lg log.Logger) (Daemon, error) {
+func NodeEntry(se setup.Hosted, lg log.Logger, me *meter.Set) (Daemon, error) {
 	boundMemory(se.Instance)
-	me := &meter.Set{}
 	store, targets := platform.NewStore(se.Store.Address), platform.NewTargets()
 	inner := &http.Client{Transport: innerTransport()}
 	en := intake.New(intake.Settings{
@@ -65,9 +64,8 @@
 }
 
 // NodeGuard builds the guard of an engine on the platform.
-func NodeGuard(se setup.Hosted, lg log.Logger) (Daemon, error) {
+func NodeGuard(se setup.Hosted, lg log.Logger, me *meter.Set) (Daemon, error) {
 	boundMemory(se.Instance)
-	me := &meter.Set{}
 	gu := &order.Guard{
 		Name: se.Name, Addr: se.Engine.Address, Service: se.Engine.Service,
 		Port: platform.NewEngine(se.Engine.Address), Store: platform.NewStore(se.Store.Address),
--- a/entry/http.go
+++ b/entry/http.go
@@ -139,6 +139,22 @@
 	Model    string          `json:"model"`
 	Prompt   json.RawMessage `json:"prompt"`
 	Messages json.RawMessage `json:"messages"`
+	// MaxTokens and MaxChat are the two names of the same bound.
+	MaxTokens *int `json:"max_tokens"`
+	MaxChat   *int `json:"max_completion_tokens"`
+}
+
+// check refuses what no target should be asked for.
+func (co completion) check(most int) *core.Error {
+	if co.Model == "" {
+		return core.Refuse(core.CodeBadRequest, "model is missing; it names the service")
+	}
+	for _, asked := range []*int{co.MaxTokens, co.MaxChat} {
+		if asked != nil && (*asked < 1 || *asked > most) {
+			return core.Refuse(core.CodeBadRequest, "max_tokens is %d, and must be from 1 to %d", *asked, most)
+		}
+	}
+	return nil
 }
 
 // completions serves the completions and chat completions protocols. The
@@ -152,8 +168,8 @@
 	if err := json.Unmarshal(raw, &co); err != nil {
 		return core.Refuse(core.CodeBadRequest, "the body is not JSON: %v", err)
 	}
-	if co.Model == "" {
-		return core.Refuse(core.CodeBadRequest, "model is missing; it names the service")
+	if er := co.check(en.settings.Limits.MaxTokens); er != nil {
+		return er
 	}
 	rq, er := en.request(req, name, co.Model, req.URL.Path, raw, true)
 	if er != nil {
--- a/entry/trainer.go
+++ b/entry/trainer.go
@@ -60,7 +60,7 @@
 		return er
 	}
 	sp.Trainer = name
-	if er := sp.Check(); er != nil {
+	if er := sp.Check(en.settings.Limits.MaxTokens); er != nil {
 		return er
 	}
 	if _, er := en.find(name, sp.Service); er != nil {
--- /dev/null
+++ b/fake/completion.go
@@ -0,0 +1,88 @@
+package fake
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+type completionRequest struct {
+	Model     string          `json:"model"`
+	Prompt    string          `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+	MaxChat   int             `json:"max_completion_tokens"`
+	Seed      int             `json:"seed"`
+	Stream    bool            `json:"stream"`
+	Priority  int             `json:"priority"`
+	// ResumeText is what another engine has generated already.
+	ResumeText string `json:"resume_text"`
+}
+
+func (en *Engine) complete(out http.ResponseWriter, req *http.Request) {
+	if !en.hold(req) {
+		http.Error(out, "down", http.StatusServiceUnavailable)
+		return
+	}
+	var cr completionRequest
+	if err := json.NewDecoder(req.Body).Decode(&cr); err != nil {
+		http.Error(out, err.Error(), http.StatusBadRequest)
+		return
+	}
+	prompt := cr.Prompt + string(cr.Messages)
+	if strings.Contains(prompt, PoisonMark) {
+		en.Crash()
+		cutOff()
+	}
+	id := req.Header.Get("X-Request-Id")
+	stop, ok := en.enter(id, prompt)
+	if !ok {
+		http.Error(out, "full", http.StatusTooManyRequests)
+		return
+	}
+	defer en.exit(id)
+	ge := generation{
+		out: out, chat: strings.Contains(req.URL.Path, "chat"), stream: cr.Stream, model: cr.Model,
+		id: fmt.Sprintf("cmpl-%x", xxhash.Sum64String(prompt)), written: len(strings.Fields(cr.ResumeText)),
+	}
+	ge.begin()
+	for at := ge.written; at < Length(prompt, cr.Seed, max(cr.MaxTokens, cr.MaxChat)); at++ {
+		if !en.tick(req, stop) {
+			cutOff()
+		}
+		if cut := en.get().Cut; cut > 0 && at >= cut {
+			cutOff()
+		}
+		ge.token(Token(prompt, cr.Seed, at), en.reported())
+	}
+	ge.end()
+}
+
+// Length is the number of tokens of an answer: heavy-tailed, at most the
+// limit, the same at every engine.
+func Length(prompt string, seed, limit int) int {
+	if limit <= 0 {
+		limit = 16
+	}
+	draw := float64(xxhash.Sum64String(fmt.Sprintf("length/%s/%d", prompt, seed))%10000+1) / 10001
+	length := int(float64(limit) / 8 / math.Pow(1-draw, 0.8))
+	return max(1, min(length, limit))
+}
+
+// Token is one word of an answer.
+func Token(prompt string, seed, at int) string {
+	return fmt.Sprintf("w%03d ", xxhash.Sum64String(fmt.Sprintf("%s/%d/%d", prompt, seed, at))%1000)
+}
+
+// Answer is the whole text of an answer.
+func Answer(prompt string, seed, limit int) string {
+	var text strings.Builder
+	for at := range Length(prompt, seed, limit) {
+		text.WriteString(Token(prompt, seed, at))
+	}
+	return text.String()
+}
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -2,12 +2,9 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -141,83 +138,6 @@
 	_ = json.NewEncoder(out).Encode(found)
 }
 
-type completionRequest struct {
-	Model     string          `json:"model"`
-	Prompt    string          `json:"prompt"`
-	Messages  json.RawMessage `json:"messages"`
-	MaxTokens int             `json:"max_tokens"`
-	MaxChat   int             `json:"max_completion_tokens"`
-	Seed      int             `json:"seed"`
-	Stream    bool            `json:"stream"`
-	Priority  int             `json:"priority"`
-	// ResumeText is what another engine has generated already.
-	ResumeText string `json:"resume_text"`
-}
-
-func (en *Engine) complete(out http.ResponseWriter, req *http.Request) {
-	if !en.hold(req) {
-		http.Error(out, "down", http.StatusServiceUnavailable)
-		return
-	}
-	var cr completionRequest
-	if err := json.NewDecoder(req.Body).Decode(&cr); err != nil {
-		http.Error(out, err.Error(), http.StatusBadRequest)
-		return
-	}
-	prompt := cr.Prompt + string(cr.Messages)
-	if strings.Contains(prompt, PoisonMark) {
-		en.Crash()
-		cutOff()
-	}
-	id := req.Header.Get("X-Request-Id")
-	stop, ok := en.enter(id, prompt)
-	if !ok {
-		http.Error(out, "full", http.StatusTooManyRequests)
-		return
-	}
-	defer en.exit(id)
-	ge := generation{
-		out: out, chat: strings.Contains(req.URL.Path, "chat"), stream: cr.Stream, model: cr.Model,
-		id: fmt.Sprintf("cmpl-%x", xxhash.Sum64String(prompt)), written: len(strings.Fields(cr.ResumeText)),
-	}
-	ge.begin()
-	for at := ge.written; at < Length(prompt, cr.Seed, max(cr.MaxTokens, cr.MaxChat)); at++ {
-		if !en.tick(req, stop) {
-			cutOff()
-		}
-		if cut := en.get().Cut; cut > 0 && at >= cut {
-			cutOff()
-		}
-		ge.token(Token(prompt, cr.Seed, at), en.reported())
-	}
-	ge.end()
-}
-
-// Length is the number of tokens of an answer: heavy-tailed, at most the
-// limit, the same at every engine.
-func Length(prompt string, seed, limit int) int {
-	if limit <= 0 {
-		limit = 16
-	}
-	draw := float64(xxhash.Sum64String(fmt.Sprintf("length/%s/%d", prompt, seed))%10000+1) / 10001
-	length := int(float64(limit) / 8 / math.Pow(1-draw, 0.8))
-	return max(1, min(length, limit))
-}
-
-// Token is one word of an answer.
-func Token(prompt string, seed, at int) string {
-	return fmt.Sprintf("w%03d ", xxhash.Sum64String(fmt.Sprintf("%s/%d/%d", prompt, seed, at))%1000)
-}
-
-// Answer is the whole text of an answer.
-func Answer(prompt string, seed, limit int) string {
-	var text strings.Builder
-	for at := range Length(prompt, seed, limit) {
-		text.WriteString(Token(prompt, seed, at))
-	}
-	return text.String()
-}
-
 func (en *Engine) enter(id, prompt string) (chan struct{}, bool) {
 	en.mutex.Lock()
 	if en.Batch > 0 && en.running >= en.Batch {
@@ -336,60 +256,6 @@
 	return en.version
 }
 
-// load swaps weights. What runs goes on and finishes with the new ones.
-func (en *Engine) load(out http.ResponseWriter, req *http.Request) {
-	var or engine.Order
-	if !en.hold(req) || json.NewDecoder(req.Body).Decode(&or) != nil {
-		http.Error(out, "bad order", http.StatusBadRequest)
-		return
-	}
-	if !en.fenceOK(or.Fence) {
-		http.Error(out, "old fencing number", http.StatusConflict)
-		return
-	}
-	if status := fetchWeights(or.Object); status != http.StatusOK {
-		http.Error(out, "weight store", status)
-		return
-	}
-	time.Sleep(en.SwapTime)
-	if en.spend(func(fa *Faults) *int { return &fa.FailLoads }) {
-		http.Error(out, "swap failed", http.StatusInternalServerError)
-		return
-	}
-	en.mutex.Lock()
-	defer en.mutex.Unlock()
-	if or.Fence < en.fence && !en.get().IgnoreFence {
-		http.Error(out, "old fencing number", http.StatusConflict)
-		return
-	}
-	en.former, en.version, en.swapped = en.version, or.Version, 0
-	_ = json.NewEncoder(out).Encode(or)
-}
-
-func (en *Engine) fenceOK(fence uint64) bool {
-	en.mutex.Lock()
-	defer en.mutex.Unlock()
-	if fence < en.fence && !en.get().IgnoreFence {
-		return false
-	}
-	en.fence = max(en.fence, fence)
-	return true
-}
-
-// fetchWeights asks the weight store for the object, if it is a URL.
-func fetchWeights(object string) int {
-	if !strings.HasPrefix(object, "http") {
-		return http.StatusOK
-	}
-	res, err := http.Get(object) //nolint:gosec,noctx // a stand-in fetching from a stand-in
-	if err != nil {
-		return http.StatusBadGateway
-	}
-	defer res.Body.Close() //nolint:errcheck // read below
-	_, _ = io.Copy(io.Discard, res.Body)
-	return res.StatusCode
-}
-
 func (en *Engine) cancel(_ http.ResponseWriter, req *http.Request) {
 	en.mutex.Lock()
 	defer en.mutex.Unlock()
@@ -412,70 +278,3 @@
 	defer en.mutex.Unlock()
 	en.kv[req.PathValue("id")] = raw
 }
-
-// generation writes one answer, as a stream or whole.
-type generation struct {
-	out     http.ResponseWriter
-	chat    bool
-	stream  bool
-	model   string
-	id      string
-	text    strings.Builder
-	version uint64
-	written int
-}
-
-func (ge *generation) begin() {
-	if ge.stream {
-		ge.out.Header().Set("Content-Type", "text/event-stream")
-		ge.out.WriteHeader(http.StatusOK)
-	}
-}
-
-func (ge *generation) token(text string, version uint64) {
-	ge.text.WriteString(text)
-	ge.version = version
-	ge.written++
-	if ge.stream {
-		ge.event(text, "")
-	}
-}
-
-func (ge *generation) event(text, finish string) {
-	fmt.Fprintf(ge.out, "data: %s\n\n", ge.object(text, finish)) //nolint:errcheck // the caller went away
-	_ = http.NewResponseController(ge.out).Flush()
-}
-
-func (ge *generation) object(text, finish string) []byte {
-	choice := map[string]any{"index": 0, "finish_reason": nil}
-	if finish != "" {
-		choice["finish_reason"] = finish
-	}
-	kind := "text_completion"
-	switch {
-	case ge.chat && ge.stream:
-		kind = "chat.completion.chunk"
-		choice["delta"] = map[string]string{"role": "assistant", "content": text}
-	case ge.chat:
-		kind = "chat.completion"
-		choice["message"] = map[string]string{"role": "assistant", "content": text}
-	default:
-		choice["text"] = text
-	}
-	raw, _ := json.Marshal(map[string]any{
-		"id": ge.id, "object": kind, "created": time.Now().Unix(), "model": ge.model, "choices": []any{choice},
-		"weight_version": ge.version,
-		"usage":          map[string]int{"completion_tokens": ge.written},
-	})
-	return raw
-}
-
-func (ge *generation) end() {
-	if !ge.stream {
-		ge.out.Header().Set("Content-Type", "application/json")
-		_, _ = ge.out.Write(ge.object(ge.text.String(), "stop"))
-		return
-	}
-	ge.event("", "stop")
-	fmt.Fprint(ge.out, "data: [DONE]\n\n") //nolint:errcheck // the caller went away
-}
--- /dev/null
+++ b/fake/generation.go
@@ -0,0 +1,76 @@
+package fake
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// generation writes one answer, as a stream or whole.
+type generation struct {
+	out     http.ResponseWriter
+	chat    bool
+	stream  bool
+	model   string
+	id      string
+	text    strings.Builder
+	version uint64
+	written int
+}
+
+func (ge *generation) begin() {
+	if ge.stream {
+		ge.out.Header().Set("Content-Type", "text/event-stream")
+		ge.out.WriteHeader(http.StatusOK)
+	}
+}
+
+func (ge *generation) token(text string, version uint64) {
+	ge.text.WriteString(text)
+	ge.version = version
+	ge.written++
+	if ge.stream {
+		ge.event(text, "")
+	}
+}
+
+func (ge *generation) event(text, finish string) {
+	fmt.Fprintf(ge.out, "data: %s\n\n", ge.object(text, finish)) //nolint:errcheck // the caller went away
+	_ = http.NewResponseController(ge.out).Flush()
+}
+
+func (ge *generation) object(text, finish string) []byte {
+	choice := map[string]any{"index": 0, "finish_reason": nil}
+	if finish != "" {
+		choice["finish_reason"] = finish
+	}
+	kind := "text_completion"
+	switch {
+	case ge.chat && ge.stream:
+		kind = "chat.completion.chunk"
+		choice["delta"] = map[string]string{"role": "assistant", "content": text}
+	case ge.chat:
+		kind = "chat.completion"
+		choice["message"] = map[string]string{"role": "assistant", "content": text}
+	default:
+		choice["text"] = text
+	}
+	raw, _ := json.Marshal(map[string]any{
+		"id": ge.id, "object": kind, "created": time.Now().Unix(), "model": ge.model, "choices": []any{choice},
+		"weight_version": ge.version,
+		"usage":          map[string]int{"completion_tokens": ge.written},
+	})
+	return raw
+}
+
+func (ge *generation) end() {
+	if !ge.stream {
+		ge.out.Header().Set("Content-Type", "application/json")
+		_, _ = ge.out.Write(ge.object(ge.text.String(), "stop"))
+		return
+	}
+	ge.event("", "stop")
+	fmt.Fprint(ge.out, "data: [DONE]\n\n") //nolint:errcheck // the caller went away
+}
--- /dev/null
+++ b/fake/weights.go
@@ -0,0 +1,65 @@
+package fake
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"bilberryshelf/engine"
+)
+
+// load swaps weights. What runs goes on and finishes with the new ones.
+func (en *Engine) load(out http.ResponseWriter, req *http.Request) {
+	var or engine.Order
+	if !en.hold(req) || json.NewDecoder(req.Body).Decode(&or) != nil {
+		http.Error(out, "bad order", http.StatusBadRequest)
+		return
+	}
+	if !en.fenceOK(or.Fence) {
+		http.Error(out, "old fencing number", http.StatusConflict)
+		return
+	}
+	if status := fetchWeights(or.Object); status != http.StatusOK {
+		http.Error(out, "weight store", status)
+		return
+	}
+	time.Sleep(en.SwapTime)
+	if en.spend(func(fa *Faults) *int { return &fa.FailLoads }) {
+		http.Error(out, "swap failed", http.StatusInternalServerError)
+		return
+	}
+	en.mutex.Lock()
+	defer en.mutex.Unlock()
+	if or.Fence < en.fence && !en.get().IgnoreFence {
+		http.Error(out, "old fencing number", http.StatusConflict)
+		return
+	}
+	en.former, en.version, en.swapped = en.version, or.Version, 0
+	_ = json.NewEncoder(out).Encode(or)
+}
+
+func (en *Engine) fenceOK(fence uint64) bool {
+	en.mutex.Lock()
+	defer en.mutex.Unlock()
+	if fence < en.fence && !en.get().IgnoreFence {
+		return false
+	}
+	en.fence = max(en.fence, fence)
+	return true
+}
+
+// fetchWeights asks the weight store for the object, if it is a URL.
+func fetchWeights(object string) int {
+	if !strings.HasPrefix(object, "http") {
+		return http.StatusOK
+	}
+	res, err := http.Get(object) //nolint:gosec,noctx // a stand-in fetching from a stand-in
+	if err != nil {
+		return http.StatusBadGateway
+	}
+	defer res.Body.Close() //nolint:errcheck // read below
+	_, _ = io.Copy(io.Discard, res.Body)
+	return res.StatusCode
+}
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -1,9 +1,11 @@
 // Package logs writes structured lines without ever holding up their writer.
 //
 //  1. A line that finds the queue full is dropped and counted.
-//  2. Lines above MostPerSecond are dropped and counted, so that a fault that
-//     repeats cannot take the processor.
-//  3. The count of dropped lines is written when lines flow again.
+//  2. Ordinary lines (below level warn) above MostPerSecond are dropped and
+//     counted, before they are encoded. Lines of level warn and above are not
+//     sampled: a failure is missing only if the reader stands still.
+//  3. The count of dropped lines is written when lines flow again, and kept as a
+//     metric.
 package logs
 
 import (
@@ -11,48 +13,105 @@
 	"io"
 	"sync/atomic"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"golang.org/x/time/rate"
+
+	"bilberryshelf/meter"
 )
 
 const (
 	// queueDepth is the lines that may wait for a slow reader.
 	queueDepth = 1024
-	// MostPerSecond bounds the lines a second; a burst of one queue may exceed it.
+	// MostPerSecond bounds the ordinary lines a second; a burst of one queue may
+	// exceed it.
 	MostPerSecond = 300
 )
 
-// Writer is an io.Writer that never blocks. Make it with New.
+// The labels of dropped lines.
+const (
+	ordinary = "ordinary"
+	failure  = "failure"
+)
+
+// Writer writes lines from a queue. Make it with New.
 type Writer struct {
 	lines   chan []byte
 	stop    chan struct{}
 	limit   *rate.Limiter
 	dropped atomic.Int64
+	meters  *meter.Set
 	done    chan struct{}
 }
 
-// New starts a writer on an output. Close ends it.
-func New(out io.Writer) *Writer {
+// New starts a writer on an output. Close ends it. Dropped lines are counted in
+// the meters.
+func New(out io.Writer, me *meter.Set) *Writer {
 	wr := &Writer{
-		lines: make(chan []byte, queueDepth), stop: make(chan struct{}), limit: rate.NewLimiter(MostPerSecond, queueDepth), done: make(chan struct{}),
+		lines: make(chan []byte, queueDepth), stop: make(chan struct{}), limit: rate.NewLimiter(MostPerSecond, queueDepth),
+		meters: me, done: make(chan struct{}),
 	}
 	go wr.run(out)
 	return wr
 }
 
-// Write queues one line.
-func (wr *Writer) Write(line []byte) (int, error) {
-	if !wr.limit.Allow() {
-		wr.dropped.Add(1)
-		return len(line), nil
+// Logger is a logger whose lines go to the writer.
+func (wr *Writer) Logger() log.Logger {
+	return &logger{
+		writer:   wr,
+		ordinary: log.NewLogfmtLogger(queue{writer: wr, kind: ordinary}),
+		failure:  log.NewLogfmtLogger(queue{writer: wr, kind: failure}),
+	}
+}
+
+// logger sorts lines by their level.
+type logger struct {
+	writer            *Writer
+	ordinary, failure log.Logger
+}
+
+// Log queues one line.
+func (lo *logger) Log(keyvals ...any) error {
+	if isFailure(keyvals) {
+		return lo.failure.Log(keyvals...)
+	}
+	if !lo.writer.limit.Allow() {
+		lo.writer.drop(ordinary)
+		return nil
 	}
+	return lo.ordinary.Log(keyvals...)
+}
+
+func isFailure(keyvals []any) bool {
+	for at := 0; at+1 < len(keyvals); at += 2 {
+		if keyvals[at] == level.Key() {
+			return keyvals[at+1] == level.WarnValue() || keyvals[at+1] == level.ErrorValue()
+		}
+	}
+	return false
+}
+
+// queue takes the encoded lines of one kind.
+type queue struct {
+	writer *Writer
+	kind   string
+}
+
+// Write queues one line.
+func (qu queue) Write(line []byte) (int, error) {
 	select {
-	case wr.lines <- append([]byte(nil), line...):
+	case qu.writer.lines <- append([]byte(nil), line...):
 	default:
-		wr.dropped.Add(1)
+		qu.writer.drop(qu.kind)
 	}
 	return len(line), nil
 }
 
+func (wr *Writer) drop(kind string) {
+	wr.dropped.Add(1)
+	wr.meters.Count("log-lines-dropped", kind, 1)
+}
+
 func (wr *Writer) run(out io.Writer) {
 	defer close(wr.done)
 	for {
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -8,9 +8,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/stretchr/testify/require"
 
 	"bilberryshelf/logs"
+	"bilberryshelf/meter"
 )
 
 // blocked is a pipe that nobody reads until it is opened.
@@ -28,22 +31,22 @@
 func TestNeverBlocks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		bl := &blocked{open: make(chan struct{})}
-		wr := logs.New(bl)
+		wr := logs.New(bl, &meter.Set{})
+		lg := level.Warn(wr.Logger()) // failures: only the reader bounds them
 		began := time.Now()
 		const lines = 5000
 		for at := range lines {
-			_, err := fmt.Fprintf(wr, "line %d\n", at)
-			require.NoError(t, err)
+			require.NoError(t, lg.Log("line", at))
 		}
 		require.Zero(t, time.Since(began))
 		close(bl.open)
 		synctest.Wait()
 		time.Sleep(time.Second)
-		_, _ = wr.Write([]byte("last\n"))
+		require.NoError(t, lg.Log("msg", "last"))
 		wr.Close()
 		text := bl.String()
-		require.Contains(t, text, "last\n")
-		written := strings.Count(text, "line ")
+		require.Contains(t, text, "msg=last\n")
+		written := strings.Count(text, "line=")
 		lost := 0
 		for _, part := range strings.Split(text, "count=")[1:] {
 			var count int
@@ -55,17 +58,31 @@
 	})
 }
 
-// The volume is bounded also for a reader that keeps up.
+// The volume of ordinary lines is bounded also for a reader that keeps up; of
+// the failures among them none is lost, and the metrics count what was dropped.
 func TestBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var out bytes.Buffer
-		wr := logs.New(&out)
+		var (
+			out bytes.Buffer
+			me  meter.Set
+		)
+		wr := logs.New(&out, &me)
+		lg := log.With(wr.Logger(), "node", "n") // context before the level
 		const seconds = 20
-		for range seconds * 1000 {
-			_, _ = wr.Write([]byte("line\n"))
+		for at := range seconds * 1000 {
+			require.NoError(t, level.Info(lg).Log("msg", "served"))
+			if at%10 == 0 {
+				require.NoError(t, level.Warn(lg).Log("msg", "refused"))
+			}
 			time.Sleep(time.Millisecond)
 		}
 		wr.Close()
-		require.LessOrEqual(t, strings.Count(out.String(), "line\n"), seconds*logs.MostPerSecond+1024)
+		text := out.String()
+		served := strings.Count(text, "msg=served\n")
+		require.LessOrEqual(t, served, seconds*logs.MostPerSecond+1024)
+		require.Equal(t, seconds*100, strings.Count(text, "msg=refused\n"))
+		var metrics bytes.Buffer
+		me.Write(&metrics)
+		require.Contains(t, metrics.String(), fmt.Sprintf("bilberryshelf_log_lines_dropped_total{of=\"ordinary\"} %d\n", seconds*1000-served))
 	})
 }
--- /dev/null
+++ b/soak/fault_test.go
@@ -0,0 +1,95 @@
+package soak_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"bilberryshelf/fake"
+)
+
+// injector injects faults, in series and overlapping.
+type injector struct {
+	world *world
+	rng   *rand.Rand
+	done  []string
+	group sync.WaitGroup
+}
+
+func (in *injector) run(span time.Duration) {
+	end := time.Now().Add(span)
+	for time.Now().Before(end) {
+		in.inject()
+		time.Sleep(time.Duration(200+in.rng.IntN(1500)) * time.Millisecond)
+	}
+	in.group.Wait()
+	in.world.rows.Set(fake.RowFaults{})
+	for _, li := range in.world.links {
+		li.set(pass)
+	}
+}
+
+// for a while runs the two ends of a fault around a pause.
+func (in *injector) during(name string, begin, end func()) {
+	pause := time.Duration(300+in.rng.IntN(3500)) * time.Millisecond
+	in.done = append(in.done, fmt.Sprintf("%s %v", name, pause))
+	in.group.Go(func() {
+		begin()
+		time.Sleep(pause)
+		end()
+	})
+}
+
+// busy marks processes whose restart is under way.
+var busy sync.Map
+
+func (in *injector) once(pr *process, name string, do func()) {
+	if _, taken := busy.LoadOrStore(pr, true); taken {
+		return
+	}
+	in.done = append(in.done, name+" "+pr.name)
+	in.group.Go(func() {
+		defer busy.Delete(pr)
+		do()
+	})
+}
+
+func (in *injector) inject() {
+	wo := in.world
+	entry, guard := wo.entries[in.rng.IntN(entries)], wo.guards[in.rng.IntN(engines)]
+	link, engine := wo.links[in.rng.IntN(entries)], wo.engines[in.rng.IntN(engines)]
+	pause := time.Duration(500+in.rng.IntN(4000)) * time.Millisecond
+	store := func(fa fake.RowFaults) func() { return func() { wo.rows.Set(fa) } }
+	switch in.rng.IntN(12) {
+	case 0:
+		in.once(entry, "kill", func() { wo.restart(entry, syscall.SIGKILL) })
+	case 1:
+		in.once(entry, "stop", func() { wo.restart(entry, syscall.SIGTERM) })
+	case 2:
+		in.once(entry, "pause", func() {
+			entry.signal(syscall.SIGSTOP)
+			time.Sleep(pause)
+			entry.signal(syscall.SIGCONT)
+		})
+	case 3:
+		in.once(guard, "kill", func() { wo.restart(guard, syscall.SIGKILL) })
+	case 4:
+		in.during("engine dark", func() { engine.SetDark(true) }, func() { engine.SetDark(false) })
+	case 5:
+		in.during("link silent", func() { link.set(silent) }, func() { link.set(pass); link.reset() })
+	case 6:
+		in.during("link one way", func() { link.set(oneWay) }, func() { link.set(pass); link.reset() })
+	case 7:
+		in.during("link slow", func() { link.set(slow) }, func() { link.set(pass) })
+	case 8:
+		in.during("link reset", link.reset, link.reset)
+	case 9:
+		in.during("store refuses", store(fake.RowFaults{Refuse: true}), store(fake.RowFaults{}))
+	case 10:
+		in.during("answers lost", store(fake.RowFaults{LoseAnswers: 3, LateWrites: 2, Late: time.Second}), store(fake.RowFaults{}))
+	case 11:
+		in.during("history dropped", wo.rows.Compact, func() {})
+	}
+}
--- a/subcmd/node.go
+++ b/subcmd/node.go
@@ -10,6 +10,7 @@
 
 	"bilberryshelf/boot"
 	"bilberryshelf/logs"
+	"bilberryshelf/meter"
 	"bilberryshelf/setup"
 )
 
@@ -22,10 +23,11 @@
 // run reads the settings, builds the daemon and serves until a stop signal. A
 // changed settings file is read and checked; addresses are in force from the
 // next start.
-func (no nodeFlags) run(read func(string) (setup.Hosted, error), build func(setup.Hosted, log.Logger) (boot.Daemon, error)) error {
-	wr := logs.New(os.Stdout)
+func (no nodeFlags) run(read func(string) (setup.Hosted, error), build func(setup.Hosted, log.Logger, *meter.Set) (boot.Daemon, error)) error {
+	me := &meter.Set{}
+	wr := logs.New(os.Stdout, me)
 	defer wr.Close()
-	lg := log.With(log.NewLogfmtLogger(wr), "at", log.DefaultTimestampUTC)
+	lg := log.With(wr.Logger(), "at", log.DefaultTimestampUTC)
 	lg = level.NewFilter(lg, level.Allow(level.ParseDefault(no.LogLevel, level.InfoValue())))
 	se, err := read(no.Settings)
 	if err != nil {
@@ -42,7 +44,7 @@
 			level.Info(lg).Log("msg", "settings read again", "changed", changed != se, "err", err) //nolint:errcheck
 		}
 	}()
-	da, err := build(se, lg)
+	da, err := build(se, lg, me)
 	if err != nil {
 		level.Error(lg).Log("msg", "not started", "err", err) //nolint:errcheck
 		return err
