--- a/batch/batch.go
+++ b/batch/batch.go
@@ -124,10 +124,6 @@
 	Submitted int64 `cbor:"6,keyasint"`
 	// Write names the last transaction on the head.
 	Write uint64 `cbor:"7,keyasint"`
-	// Parts is the number of body rows.
-	Parts int `cbor:"8,keyasint"`
-	// Due is how long after the submission the results are due.
-	Due time.Duration `cbor:"9,keyasint"`
 	// Route is the name of the job's route.
 	Route string `cbor:"10,keyasint"`
 }
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -89,7 +89,6 @@
 func (le Ledger) Accept(ctx context.Context, jo *Job, he Head) (Known, error) {
 	groups := Groups(BodyPuts(jo))
 	for at, puts := range groups {
-		he.Parts += len(puts)
 		if at == len(groups)-1 {
 			break
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -26,9 +26,6 @@
 	Domain   string
 	Slots    int
 	Draining bool
-	// Cold is how much longer the target stays slow after its start, as of the
-	// entry's last change.
-	Cold time.Duration
 	// Models maps a model to the version of its weights.
 	Models map[string]uint64
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -88,7 +88,7 @@
 	Sender calls.Sender
 	// Streamer serves routes whose answers are events.
 	Streamer calls.Streamer
-	Engine runs.Engine
+	Engine   runs.Engine
 	// Dial reaches the tables through the peer at an inner address.
 	Dial func(addr string) table.Caller
 	// Starter hands jobs to the peer at an inner address.
@@ -117,7 +117,7 @@
 		Sender: po.Sender, Streamer: po.Streamer, Clock: clock, Logger: lg, Meters: me, Domain: se.Domain, Draw: rand.IntN, Board: en.board,
 	}
 	en.owner = &runs.Owner{
-		Name: en.name, Domain: se.Domain, Ledger: en.ledger, Index: en.index, Engine: po.Engine, Scorer: en,
+		Domain: se.Domain, Ledger: en.ledger, Index: en.index, Engine: po.Engine, Scorer: en,
 		Clock: clock, Logger: lg, Meters: me, Loop: en.loop,
 	}
 	en.owner.Init(en.ctx)
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -48,7 +48,7 @@
 	}
 	home := en.home(route.Name)
 	he := batch.Head{
-		Epoch: 1, Owner: home.Name, Total: len(jo.Items), Submitted: en.clock.Now().UnixMilli(), Due: route.Due, Route: route.Name,
+		Epoch: 1, Owner: home.Name, Total: len(jo.Items), Submitted: en.clock.Now().UnixMilli(), Route: route.Name,
 	}
 	kn, err := en.ledger.Accept(ctx, jo, he)
 	level.Info(en.logger).Log("msg", "job submitted", "id", jo.ID, "route", route.Name, "step", jo.Step, "items", len(jo.Items), //nolint:errcheck
--- a/order/order.go
+++ b/order/order.go
@@ -9,7 +9,7 @@
 //     another moves there.
 //  3. Loads share the weight store's bandwidth, so that more than a few together
 //     all take longer. A guard loads only while it holds one of the slots, which
-//     are rows of the store: one for each 1/SlotShare engines of the service.
+//     are rows of the store: place.LoadsTogether of the engines of the service.
 //  4. An engine whose version no longer serves the step in hand loads at once.
 //     Trainers permit the version before the named one; an engine that holds it
 //     loads when it is idle and no other one is in need. The owner of the step
@@ -75,14 +75,6 @@
 	Accepted uint64
 }
 
-// SlotShare is the slots over the engines of a service: the loads that the
-// weight store serves together at full speed by the sheets, 2 of 8 and of 12,
-// 8 of 42.
-const SlotShare = 0.2
-
-// Slots is the number of loads together for a number of engines.
-func Slots(engines int) int { return max(1, int(SlotShare*float64(engines)+0.5)) }
-
 // Engine is one engine of the service, as the registry and the homes tell.
 type Engine struct {
 	ID   string
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -19,6 +19,7 @@
 	"bilberryshelf/fleet"
 	"bilberryshelf/meter"
 	"bilberryshelf/order"
+	"bilberryshelf/place"
 	"bilberryshelf/table"
 )
 
@@ -218,7 +219,7 @@
 		}
 		wo.mutex.Lock()
 		defer wo.mutex.Unlock()
-		require.Equal(t, order.Slots(12), wo.most)
+		require.Equal(t, place.LoadsTogether(12), wo.most)
 	})
 }
 
@@ -228,7 +229,7 @@
 		wo, stop := start(t, 4)
 		defer stop()
 		raw := order.Row{Holder: "dead"}
-		for at := range order.Slots(4) {
+		for at := range place.LoadsTogether(4) {
 			value, err := raw.Encode()
 			require.NoError(t, err)
 			id := table.ID{Table: order.Table, Key: fmt.Sprintf("slot/%d", at)}
--- a/place/place.go
+++ b/place/place.go
@@ -21,7 +21,7 @@
 //  5. An engine that refused an item takes one at a time until one has begun.
 //  6. Loading weights stops an engine's runs for about a second. So once no item
 //     waits, engines whose weights are behind the named version are emptied,
-//     the ones with the fewest runs first, AtOnceShare of them together, while
+//     the ones with the fewest runs first, LoadsTogether of them at once, while
 //     the others have room for their runs. Their guards load them when they are
 //     idle.
 //  7. A run leaves its engine for one of the fastest class with room when its
@@ -234,9 +234,12 @@
 	return false
 }
 
-// AtOnceShare is the part of the engines that load together: as many as the
-// weight store serves at full speed by the sheets, 2 of 8 to 8 of 42.
-const AtOnceShare = 0.2
+// loadShare is the loads that the weight store serves together at full speed,
+// over the engines of a service, by the sheets: 2 of 8 and of 12, 8 of 42.
+const loadShare = 0.2
+
+// LoadsTogether is how many of a number of engines load at once.
+func LoadsTogether(engines int) int { return max(1, int(loadShare*float64(engines)+0.5)) }
 
 // Empty chooses the engines to be emptied next (rule 6).
 func Empty(engines []Engine, model string, oldest, named uint64) []int {
@@ -266,7 +269,7 @@
 		}
 		return cmp.Compare(engines[lhs].Running, engines[rhs].Running)
 	})
-	together := max(1, int(AtOnceShare*float64(serving)+0.5))
+	together := LoadsTogether(serving)
 	var chosen []int
 	for _, at := range behind {
 		room -= max(engines[at].free(), 0)
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -73,7 +73,6 @@
 // Owner runs the jobs that this entry owns. Set the exported fields, then call
 // Init and Run.
 type Owner struct {
-	Name   string
 	Domain string
 	Ledger batch.Ledger
 	Index  *batch.Index
