--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -10,10 +11,15 @@
 	"bilberryshelf/fake"
 )
 
+// allKinds is the number of kinds of faults.
+const allKinds = 15
+
 // injector injects faults, in series and overlapping.
 type injector struct {
 	world *world
 	rng   *rand.Rand
+	// kinds is how many of the kinds of faults are drawn from.
+	kinds int
 	done  []string
 	group sync.WaitGroup
 }
@@ -62,7 +68,7 @@
 	link, engine := wo.links[in.rng.IntN(entries)], wo.engines[in.rng.IntN(engines)]
 	pause := time.Duration(500+in.rng.IntN(4000)) * time.Millisecond
 	store := func(fa fake.RowFaults) func() { return func() { wo.rows.Set(fa) } }
-	switch in.rng.IntN(12) {
+	switch in.rng.IntN(in.kinds) {
 	case 0:
 		in.once(entry, "kill", func() { wo.restart(entry, syscall.SIGKILL) })
 	case 1:
@@ -91,5 +97,36 @@
 		in.during("answers lost", store(fake.RowFaults{LoseAnswers: 3, LateWrites: 2, Late: time.Second}), store(fake.RowFaults{}))
 	case 11:
 		in.during("history dropped", wo.rows.Compact, func() {})
+	case 12:
+		in.once(guard, "stop", func() { wo.restart(guard, syscall.SIGTERM) })
+	case 13:
+		in.once(guard, "pause", func() {
+			guard.signal(syscall.SIGSTOP)
+			time.Sleep(pause)
+			guard.signal(syscall.SIGCONT)
+		})
+	case 14:
+		in.slowSenders(wo.fronts[in.rng.IntN(entries)])
 	}
 }
+
+// slowSenders opens connections that stop in the middle of a request.
+func (in *injector) slowSenders(front string) {
+	const count = 30
+	var conns []net.Conn
+	in.during("slow senders", func() {
+		for at := range count {
+			conn, err := net.Dial("tcp", front)
+			if err != nil {
+				return // the entry is down at the moment
+			}
+			conns = append(conns, conn)
+			text := fmt.Sprintf("POST /look/x HTTP/1.1\r\nHost: h\r\nBilberryshelf-Request-Id: s%d\r\nContent-Length: 100\r\n\r\nbody", at)
+			_, _ = conn.Write([]byte(text)[:len(text)-at]) // the entry may go down at any moment
+		}
+	}, func() {
+		for _, conn := range conns {
+			_ = conn.Close() // nothing is wanted from it
+		}
+	})
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,9 +26,16 @@
 	span     = flag.Duration("soak-span", 8*time.Second, "how long faults are injected for each seed")
 )
 
-// regressions are the seeds that ever failed, with their cause.
-var regressions = map[uint64]string{
-	4: "an entry without live peers never tried its direct way to the store again",
+// regression is a seed that failed, with the number of kinds of faults that it
+// was drawn from.
+type regression struct {
+	kinds int
+	cause string
+}
+
+// regressions are the seeds that ever failed.
+var regressions = map[uint64]regression{
+	4: {kinds: 12, cause: "an entry without live peers never tried its direct way to the store again"},
 }
 
 func TestMain(m *testing.M) {
@@ -50,17 +57,17 @@
 
 func TestSoak(t *testing.T) {
 	for at := range *seeds {
-		run(t, *fromSeed+uint64(at))
+		run(t, *fromSeed+uint64(at), allKinds)
 	}
 }
 
 func TestRegressions(t *testing.T) {
-	for seed := range regressions {
-		run(t, seed)
+	for seed, re := range regressions {
+		run(t, seed, re.kinds)
 	}
 }
 
-func run(t *testing.T, seed uint64) {
+func run(t *testing.T, seed uint64, kinds int) {
 	t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 		wo := newWorld(t, binary)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -71,7 +78,7 @@
 			group.Go(func() { wo.call(ctx, rand.New(rand.NewPCG(seed, uint64(10+at))), at) })
 		}
 		time.Sleep(2 * time.Second)
-		in := &injector{world: wo, rng: rand.New(rand.NewPCG(seed, 1))}
+		in := &injector{world: wo, rng: rand.New(rand.NewPCG(seed, 1)), kinds: kinds}
 		in.run(*span)
 		healed := tr.count()
 		deadline := time.Now().Add(25 * time.Second)
