--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -12,7 +12,7 @@
 )
 
 // allKinds is the number of kinds of faults.
-const allKinds = 15
+const allKinds = 16
 
 // injector injects faults, in series and overlapping.
 type injector struct {
@@ -107,6 +107,9 @@
 		})
 	case 14:
 		in.slowSenders(wo.fronts[in.rng.IntN(entries)])
+	case 15:
+		desk := wo.desks[in.rng.IntN(desks)]
+		in.during("answers crossed", func() { desk.SetCrossed(true) }, func() { desk.SetCrossed(false) })
 	}
 }
 
--- /dev/null
+++ b/soak/mutant_test.go
@@ -0,0 +1,77 @@
+package soak_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+var mutants = flag.Int("soak-mutants", 0, "how many seeds each mutant may take; zero skips them, as they take minutes")
+
+// mutant switches one safeguard off by a change of one file.
+type mutant struct {
+	promise  string
+	file     string
+	old, new string
+}
+
+var allMutants = []mutant{
+	{"a job is accepted once", "batch/ledger.go", "Expect: []table.Expect{{ID: HeadID(job), Version: from.Version}},", ""},
+	{"a text is whole", "runs/step.go", "case out.Ending == Whole && len(", "case (out.Ending == Whole || out.Ending == Cut) && len("},
+	{"an event stands once", "platform/target.go", "if se.After > 0 {", "if se.After > 1000 {"},
+	{"refused means not run", "calls/calls.go", "if verdict == \"\" || verdict == core.NotRun {", "if true {"},
+	{"a request that may run once runs once", "calls/calls.go", "if (doubt && !repeatable(at.re.Route)) ||", "if (doubt && false) ||"},
+	{"a job goes on without its owner", "intake/adopt.go", "if !en.members.Dead(now, he.Owner) {", "if he.Owner != \"\" {"},
+	{"fences rise", "order/guard.go", "gu.fence = version", "gu.fence = 1 << 40 / version"},
+	{"no text of older weights", "place/place.go", "en.free() > 0 && en.Version >= it.Oldest", "en.free() > 0"},
+	{"a stream that breaks never looks whole", "platform/stream.go", "panic(http.ErrAbortHandler)", "return"},
+	{"a request gets its own answer", "platform/target.go", "echo != re.ID || res.Header.Get(headerStamp) == \"\"", "false"},
+}
+
+// Each mutant breaks a promise within a few seeds.
+func TestMutants(t *testing.T) {
+	if *mutants == 0 {
+		t.Skip("run by hand with -soak-mutants 5")
+	}
+	for _, mu := range allMutants {
+		t.Run(mu.promise, func(t *testing.T) {
+			program := mu.build(t)
+			for seed := range uint64(*mutants) {
+				var broken []string
+				t.Run(fmt.Sprintf("seed-%d", seed+1), func(t *testing.T) { broken = play(t, program, seed+1, allKinds) })
+				if len(broken) > 0 {
+					t.Logf("seed %d: %s", seed+1, broken[0])
+					return
+				}
+			}
+			t.Errorf("%d seeds did not notice", *mutants)
+		})
+	}
+}
+
+// build makes the program with the change.
+func (mu mutant) build(t *testing.T) string {
+	dir := t.TempDir()
+	file, err := filepath.Abs(filepath.Join("..", mu.file))
+	require.NoError(t, err)
+	raw, err := os.ReadFile(file)
+	require.NoError(t, err)
+	require.Equal(t, 1, bytes.Count(raw, []byte(mu.old)), "the safeguard stands elsewhere now")
+	changed := filepath.Join(dir, "changed.go")
+	require.NoError(t, os.WriteFile(changed, bytes.Replace(raw, []byte(mu.old), []byte(mu.new), 1), 0o600))
+	overlay, err := json.Marshal(map[string]any{"Replace": map[string]string{file: changed}})
+	require.NoError(t, err)
+	list := filepath.Join(dir, "overlay.json")
+	require.NoError(t, os.WriteFile(list, overlay, 0o600))
+	program := filepath.Join(dir, "bilberryshelf")
+	out, err := exec.Command("go", "build", "-overlay", list, "-o", program, "bilberryshelf/cmd/bilberryshelf").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	return program
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -69,34 +69,38 @@
 
 func run(t *testing.T, seed uint64, kinds int) {
 	t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-		wo := newWorld(t, binary)
-		ctx, cancel := context.WithCancel(t.Context())
-		tr := &trainer{world: wo, client: client(), rng: rand.New(rand.NewPCG(seed, 2)), known: map[string][]string{}}
-		var group sync.WaitGroup
-		group.Go(func() { tr.run(ctx) })
-		for at := range 2 {
-			group.Go(func() { wo.call(ctx, rand.New(rand.NewPCG(seed, uint64(10+at))), at) })
-		}
-		time.Sleep(2 * time.Second)
-		in := &injector{world: wo, rng: rand.New(rand.NewPCG(seed, 1)), kinds: kinds}
-		in.run(*span)
-		healed := tr.count()
-		deadline := time.Now().Add(25 * time.Second)
-		for tr.count() < healed+2 && time.Now().Before(deadline) {
-			time.Sleep(100 * time.Millisecond)
-		}
-		cancel()
-		group.Wait()
-		if tr.count() < healed+2 {
-			wo.broken("no two steps were whole within 25 s after the last fault")
-		}
-		wo.audit(tr)
-		t.Logf("faults: %s; steps: %d, requests: %d", strings.Join(in.done, ", "), tr.count(), wo.begun())
-		t.Logf("answered: %v", wo.served)
-		require.Empty(t, wo.found())
+		require.Empty(t, play(t, binary, seed, kinds))
 	})
 }
 
+// play runs one seed with a program and returns the broken promises.
+func play(t *testing.T, program string, seed uint64, kinds int) []string {
+	wo := newWorld(t, program)
+	ctx, cancel := context.WithCancel(t.Context())
+	tr := &trainer{world: wo, client: client(), rng: rand.New(rand.NewPCG(seed, 2)), known: map[string][]string{}}
+	var group sync.WaitGroup
+	group.Go(func() { tr.run(ctx) })
+	for at := range 2 {
+		group.Go(func() { wo.call(ctx, rand.New(rand.NewPCG(seed, uint64(10+at))), at) })
+	}
+	time.Sleep(2 * time.Second)
+	in := &injector{world: wo, rng: rand.New(rand.NewPCG(seed, 1)), kinds: kinds}
+	in.run(*span)
+	healed := tr.count()
+	deadline := time.Now().Add(25 * time.Second)
+	for tr.count() < healed+2 && time.Now().Before(deadline) {
+		time.Sleep(100 * time.Millisecond)
+	}
+	cancel()
+	group.Wait()
+	if tr.count() < healed+2 {
+		wo.broken("no two steps were whole within 25 s after the last fault")
+	}
+	wo.audit(tr)
+	t.Logf("faults: %s; steps: %d, requests: %d, answered: %v", strings.Join(in.done, ", "), tr.count(), wo.begun(), wo.served)
+	return wo.found()
+}
+
 // audit checks what can only be told at the end.
 func (wo *world) audit(tr *trainer) {
 	for _, kind := range kinds {
