soak: a mutant of each promise, jobs sent again, owners frozen beyond their time

TestMutants (by hand, -soak-mutants 8) builds the program with the safeguards of one promise switched off and expects the soak to notice. Not noticed: the head's condition (no fault froze an owner for longer than its jobs stay its own) and old weights (two safeguards, of which the mutant had one).

--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -12,7 +12,7 @@
 )
 
 // allKinds is the number of kinds of faults.
-const allKinds = 16
+const allKinds = 17
 
 // injector injects faults, in series and overlapping.
 type injector struct {
@@ -110,6 +110,12 @@
 	case 15:
 		desk := wo.desks[in.rng.IntN(desks)]
 		in.during("answers crossed", func() { desk.SetCrossed(true) }, func() { desk.SetCrossed(false) })
+	case 16:
+		in.once(entry, "freeze", func() { // longer than its jobs stay its own
+			entry.signal(syscall.SIGSTOP)
+			time.Sleep(6*time.Second + pause/2)
+			entry.signal(syscall.SIGCONT)
+		})
 	}
 }
 
--- a/soak/mutant_test.go
+++ b/soak/mutant_test.go
@@ -15,24 +15,29 @@
 
 var mutants = flag.Int("soak-mutants", 0, "how many seeds each mutant may take; zero skips them, as they take minutes")
 
-// mutant switches one safeguard off by a change of one file.
-type mutant struct {
-	promise  string
+// edit replaces a text that stands once in a file.
+type edit struct {
 	file     string
 	old, new string
 }
 
+// mutant switches the safeguards of one promise off.
+type mutant struct {
+	promise string
+	edits   []edit
+}
+
 var allMutants = []mutant{
-	{"a job is accepted once", "batch/ledger.go", "Expect: []table.Expect{{ID: HeadID(job), Version: from.Version}},", ""},
-	{"a text is whole", "runs/step.go", "case out.Ending == Whole && len(", "case (out.Ending == Whole || out.Ending == Cut) && len("},
-	{"an event stands once", "platform/target.go", "if se.After > 0 {", "if se.After > 1000 {"},
-	{"refused means not run", "calls/calls.go", "if verdict == \"\" || verdict == core.NotRun {", "if true {"},
-	{"a request that may run once runs once", "calls/calls.go", "if (doubt && !repeatable(at.re.Route)) ||", "if (doubt && false) ||"},
-	{"a job goes on without its owner", "intake/adopt.go", "if !en.members.Dead(now, he.Owner) {", "if he.Owner != \"\" {"},
-	{"fences rise", "order/guard.go", "gu.fence = version", "gu.fence = 1 << 40 / version"},
-	{"no text of older weights", "place/place.go", "en.free() > 0 && en.Version >= it.Oldest", "en.free() > 0"},
-	{"a stream that breaks never looks whole", "platform/stream.go", "panic(http.ErrAbortHandler)", "return"},
-	{"a request gets its own answer", "platform/target.go", "echo != re.ID || res.Header.Get(headerStamp) == \"\"", "false"},
+	{"a job is accepted once", []edit{{"batch/ledger.go", "Expect: []table.Expect{{ID: HeadID(job), Version: from.Version}},", ""}}},
+	{"a text is whole", []edit{{"runs/step.go", "case out.Ending == Whole && len(", "case (out.Ending == Whole || out.Ending == Cut) && len("}}},
+	{"an event stands once", []edit{{"platform/target.go", "if se.After > 0 {", "if se.After > 1000 {"}}},
+	{"refused means not run", []edit{{"calls/calls.go", "if verdict == \"\" || verdict == core.NotRun {", "if true {"}}},
+	{"a request that may run once runs once", []edit{{"calls/calls.go", "if (doubt && !repeatable(at.re.Route)) ||", "if (doubt && false) ||"}}},
+	{"a job goes on without its owner", []edit{{"intake/adopt.go", "if !en.members.Dead(now, he.Owner) {", "if he.Owner != \"\" {"}}},
+	{"fences rise", []edit{{"order/guard.go", "gu.fence = version", "gu.fence = 1 << 40 / version"}}},
+	{"no text of older weights", []edit{{"place/place.go", "en.free() > 0 && en.Version >= it.Oldest", "en.free() > 0"}, {"runs/job.go", "if ev.Version < oldest {", "if ev.Version == 0 {"}}},
+	{"a stream that breaks never looks whole", []edit{{"platform/stream.go", "panic(http.ErrAbortHandler)", "return"}}},
+	{"a request gets its own answer", []edit{{"platform/target.go", "echo != re.ID || res.Header.Get(headerStamp) == \"\"", "false"}}},
 }
 
 // Each mutant breaks a promise within a few seeds.
@@ -56,17 +61,20 @@
 	}
 }
 
-// build makes the program with the change.
+// build makes the program with the changes.
 func (mu mutant) build(t *testing.T) string {
 	dir := t.TempDir()
-	file, err := filepath.Abs(filepath.Join("..", mu.file))
-	require.NoError(t, err)
-	raw, err := os.ReadFile(file)
-	require.NoError(t, err)
-	require.Equal(t, 1, bytes.Count(raw, []byte(mu.old)), "the safeguard stands elsewhere now")
-	changed := filepath.Join(dir, "changed.go")
-	require.NoError(t, os.WriteFile(changed, bytes.Replace(raw, []byte(mu.old), []byte(mu.new), 1), 0o600))
-	overlay, err := json.Marshal(map[string]any{"Replace": map[string]string{file: changed}})
+	replace := map[string]string{}
+	for at, ed := range mu.edits {
+		file, err := filepath.Abs(filepath.Join("..", ed.file))
+		require.NoError(t, err)
+		raw, err := os.ReadFile(file)
+		require.NoError(t, err)
+		require.Equal(t, 1, bytes.Count(raw, []byte(ed.old)), "the safeguard stands elsewhere now")
+		replace[file] = filepath.Join(dir, fmt.Sprintf("changed-%d.go", at))
+		require.NoError(t, os.WriteFile(replace[file], bytes.Replace(raw, []byte(ed.old), []byte(ed.new), 1), 0o600))
+	}
+	overlay, err := json.Marshal(map[string]any{"Replace": replace})
 	require.NoError(t, err)
 	list := filepath.Join(dir, "overlay.json")
 	require.NoError(t, os.WriteFile(list, overlay, 0o600))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -77,7 +77,7 @@
 func play(t *testing.T, program string, seed uint64, kinds int) []string {
 	wo := newWorld(t, program)
 	ctx, cancel := context.WithCancel(t.Context())
-	tr := &trainer{world: wo, client: client(), rng: rand.New(rand.NewPCG(seed, 2)), known: map[string][]string{}}
+	tr := &trainer{world: wo, client: client(), rng: rand.New(rand.NewPCG(seed, 2)), again: rand.New(rand.NewPCG(seed, 3)), known: map[string][]string{}}
 	var group sync.WaitGroup
 	group.Go(func() { tr.run(ctx) })
 	for at := range 2 {
--- a/soak/trainer_test.go
+++ b/soak/trainer_test.go
@@ -19,9 +19,11 @@
 
 // trainer submits a step, reads it, ends it and names the next version.
 type trainer struct {
-	world   *world
-	client  *http.Client
-	rng     *rand.Rand
+	world  *world
+	client *http.Client
+	rng    *rand.Rand
+	// again draws when a job is sent again.
+	again   *rand.Rand
 	version uint64
 	refused []string
 
@@ -88,6 +90,7 @@
 		if err == nil {
 			_ = res.Body.Close() // nothing in it is wanted
 			if res.StatusCode == http.StatusAccepted {
+				tr.resubmit(ctx, job, body)
 				return true
 			}
 		}
@@ -100,6 +103,23 @@
 	return false
 }
 
+// resubmit sends an accepted job once more, now and then, as clients do whose
+// answer was lost. It must change nothing; what was listed is checked by reads.
+func (tr *trainer) resubmit(ctx context.Context, job string, body []byte) {
+	if tr.again.IntN(2) > 0 {
+		return
+	}
+	time.Sleep(time.Duration(tr.again.IntN(1000)) * time.Millisecond)
+	res, err := tr.ask(ctx, http.MethodPost, tr.front(), "/train/x", job, body)
+	if err != nil {
+		return
+	}
+	_ = res.Body.Close() // nothing in it is wanted
+	if res.StatusCode >= http.StatusBadRequest && res.StatusCode < http.StatusInternalServerError {
+		tr.world.broken("job %s was accepted, and sent again gets %d", job, res.StatusCode)
+	}
+}
+
 // read reads a job until it is whole.
 func (tr *trainer) read(ctx context.Context, job string) bool {
 	deadline := time.Now().Add(45 * time.Second)
