--- a/calls/calls.go
+++ b/calls/calls.go
@@ -130,26 +130,33 @@
 	defer cancel()
 	at := &attempts{ca: ca, re: re, service: re.Route.Pick(ca.Draw), results: make(chan outcome, ca.most(re)+MostRefusals)}
 	answer, err := at.run(ctx)
-	ca.record(at, answer, err, ca.Clock.Now().Sub(started))
+	now := ca.Clock.Now()
+	more := []any{"status", answer.Status}
+	if err != nil {
+		more = []any{"left", re.Deadline.Sub(now)}
+	}
+	at.record(err, now.Sub(started), more...)
 	return answer, err
 }
 
 func (*Caller) most(re Request) int { return max(re.Route.Attempts, 1) }
 
-// record logs and counts what came of a request.
-func (ca *Caller) record(at *attempts, an Answer, err *core.Error, took time.Duration) {
-	ca.Meters.Observe("request", at.re.Route.Name, took)
-	targets := strings.Join(at.tried, ",")
+// record logs and counts what came of a request. More is what else the log line
+// tells.
+func (at *attempts) record(err *core.Error, took time.Duration, more ...any) {
+	ca, route := at.ca, at.re.Route.Name
+	ca.Meters.Observe("request", route, took)
+	fields := append([]any{
+		"id", at.re.ID, "route", route, "targets", strings.Join(at.tried, ","), "refused-by", at.refused, "took", took,
+	}, more...)
 	if err == nil {
-		ca.Meters.Count("requests-answered", at.re.Route.Name, 1)
-		level.Info(ca.Logger).Log("msg", "request answered", "id", at.re.ID, "route", at.re.Route.Name, "status", an.Status, //nolint:errcheck
-			"targets", targets, "refused-by", at.refused, "took", took)
+		ca.Meters.Count("requests-answered", route, 1)
+		level.Info(ca.Logger).Log(append([]any{"msg", "request answered"}, fields...)...) //nolint:errcheck
 		return
 	}
 	ca.Meters.Count("requests-refused", string(err.Code), 1)
-	level.Warn(ca.Logger).Log("msg", "request not served", "id", at.re.ID, "route", at.re.Route.Name, "service", at.service, //nolint:errcheck
-		"targets", targets, "sent", at.sent, "refused-by", at.refused, "left", at.re.Deadline.Sub(ca.Clock.Now()),
-		"verdict", err.Verdict, "code", err.Code, "text", err.Text, "took", took)
+	fields = append(fields, "service", at.service, "sent", at.sent, "verdict", err.Verdict, "code", err.Code, "text", err.Text)
+	level.Warn(ca.Logger).Log(append([]any{"msg", "request not served"}, fields...)...) //nolint:errcheck
 }
 
 func (at *attempts) run(ctx context.Context) (Answer, *core.Error) {
--- a/calls/stream.go
+++ b/calls/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -63,18 +62,7 @@
 	defer cancel()
 	st := &stream{attempts: &attempts{ca: ca, re: re, service: re.Route.Pick(ca.Draw)}, sink: sink, after: re.After, heard: started}
 	err := st.run(ctx, started)
-	ca.Meters.Observe("request", re.Route.Name, ca.Clock.Now().Sub(started))
-	targets := strings.Join(st.tried, ",")
-	if err == nil {
-		ca.Meters.Count("requests-answered", re.Route.Name, 1)
-		level.Info(ca.Logger).Log("msg", "request answered", "id", re.ID, "route", re.Route.Name, "targets", targets, //nolint:errcheck
-			"refused-by", st.refused, "events", st.events, "first", st.first, "took", ca.Clock.Now().Sub(started))
-		return nil
-	}
-	ca.Meters.Count("requests-refused", string(err.Code), 1)
-	level.Warn(ca.Logger).Log("msg", "request not served", "id", re.ID, "route", re.Route.Name, "service", st.service, //nolint:errcheck
-		"targets", targets, "sent", st.sent, "refused-by", st.refused, "events", st.events, "after", st.after,
-		"verdict", err.Verdict, "code", err.Code, "text", err.Text, "took", ca.Clock.Now().Sub(started))
+	st.record(err, ca.Clock.Now().Sub(started), "events", st.events, "after", st.after, "first", st.first)
 	return err
 }
 
--- a/intake/adopt.go
+++ b/intake/adopt.go
@@ -21,12 +21,12 @@
 )
 
 // adoptOrphans takes over jobs whose owner is gone.
-func (en *Entry) adoptOrphans(ctx context.Context) {
+func (en *Entry) adoptOrphans(ctx context.Context, heads map[string]batch.Known) {
 	if en.settings.Weak || en.leaving.Load() || en.config.Load() == nil {
 		return
 	}
 	now := en.clock.Now()
-	for job, kn := range en.index.All() {
+	for job, kn := range heads {
 		if !kn.Head.Open() || kn.Head.Age(now) > mostAge || en.owner.Owns(job) {
 			delete(en.orphans, job)
 			continue
--- a/intake/forget.go
+++ b/intake/forget.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"bilberryshelf/batch"
 )
 
 // KeepFor is how long after its submission a job stays readable: five times the
@@ -13,9 +15,9 @@
 
 // forgetOld drops one job that need not be kept any longer from the store. The
 // home of the job's route does so.
-func (en *Entry) forgetOld(ctx context.Context) {
+func (en *Entry) forgetOld(ctx context.Context, heads map[string]batch.Known) {
 	now := en.clock.Now()
-	for job, kn := range en.index.All() {
+	for job, kn := range heads {
 		if kn.Head.Age(now) < KeepFor || en.home(kn.Head.Route).Name != en.name {
 			continue
 		}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -78,7 +78,8 @@
 
 	mutex     sync.Mutex
 	fleet     fleet.Fleet
-	malformed map[string]uint64
+	// malformed holds the ids of rows that name no target, each logged once.
+	malformed map[string]bool
 	members   member.View
 	regions   map[string]string
 	orphans   map[string]time.Time
@@ -111,7 +112,7 @@
 	en := &Entry{
 		settings: se, name: se.Node + "/" + strconv.FormatUint(rand.Uint64(), 36), clock: clock, logger: lg, meters: me,
 		decoders: de, index: batch.NewIndex(lg), board: &calls.Board{}, loop: core.NewLoop(), dial: po.Dial, starter: po.Starter,
-		done: make(chan struct{}), malformed: map[string]uint64{}, orphans: map[string]time.Time{}, dials: map[string]table.Caller{},
+		done: make(chan struct{}), malformed: map[string]bool{}, orphans: map[string]time.Time{}, dials: map[string]table.Caller{},
 	}
 	en.ctx, en.stop = context.WithCancel(context.Background())
 	en.store = &via.Store{Direct: po.Direct, Peers: en.peers, Clock: clock, Logger: lg}
@@ -233,8 +234,8 @@
 			continue
 		}
 		dropped = append(dropped, ro.ID.Key) // it names no target to use
-		if _, told := en.malformed[ro.ID.Key]; !told {
-			en.malformed[ro.ID.Key] = ro.Version
+		if !en.malformed[ro.ID.Key] {
+			en.malformed[ro.ID.Key] = true
 			level.Warn(en.logger).Log("msg", "target ignored", "id", ro.ID.Key, "row", ro.Version, "err", err) //nolint:errcheck
 		}
 	}
@@ -382,7 +383,8 @@
 			level.Info(en.logger).Log("msg", "targets did not come back", "count", len(gone)) //nolint:errcheck
 			en.publish()
 		}
-		en.adoptOrphans(ctx)
-		en.forgetOld(ctx)
+		heads := en.index.All()
+		en.adoptOrphans(ctx, heads)
+		en.forgetOld(ctx, heads)
 	}
 }
--- a/intake/stop.go
+++ b/intake/stop.go
@@ -6,9 +6,8 @@
 
 	"github.com/go-kit/log/level"
 
-	"bilberryshelf/table"
-
 	"bilberryshelf/member"
+	"bilberryshelf/table"
 )
 
 const (
--- a/runs/life.go
+++ b/runs/life.go
@@ -211,7 +211,7 @@
 	}
 	if state == batch.Errored {
 		level.Warn(ow.Logger).Log("msg", "item errored", "job", jo.body.ID, "id", it.item.ID, "why", why, //nolint:errcheck
-			"failures", it.failures, "events", len(it.events), "age", jo.known.Head.Age(ow.Clock.Now()))
+			"failures", it.failures, "events", len(it.events), "age", age)
 		ow.Meters.Count("items-errored", jo.route.Name, 1)
 	}
 }
