--- a/intake/intake.go
+++ b/intake/intake.go
@@ -76,8 +76,8 @@
 	stop    context.CancelFunc
 	done    chan struct{}
 
-	mutex     sync.Mutex
-	fleet     fleet.Fleet
+	mutex sync.Mutex
+	fleet fleet.Fleet
 	// malformed holds the ids of rows that name no target, each logged once.
 	malformed map[string]bool
 	members   member.View
