order: a need that is not met holds no other load up

A guard that is cut off from the store holds an engine at an old version; its row stays as it was, so every other guard took it to be in need and waited for it for the whole cut. Ruled out: slots (slot 0 was free from 21.8 s), engines at work (one was emptied at 22.4 s), reports (fresh every 100 ms). Now an engine in need goes first for NeedPatience, the time after which a slot is taken from a holder that does not act. TestNeedThatIsNotMet fails before.

--- a/order/guard.go
+++ b/order/guard.go
@@ -79,6 +79,7 @@
 	targets map[string]fleet.Target
 	homes   map[string]string
 	slots   map[string]slot
+	needs   Needs
 
 	fence uint64
 	// ordered is when the last order went out, loaded the version last seen.
@@ -283,7 +284,7 @@
 			}
 		}
 		needy := home != "" && Needy(ta.Models[home], gu.named[home])
-		si.Engines = append(si.Engines, Engine{ID: ta.Addr, Home: home, Needy: needy})
+		si.Engines = append(si.Engines, Engine{ID: ta.Addr, Home: home, Needy: gu.needs.First(now, ta.ID, needy)})
 	}
 	if re.Running+re.Waiting > 0 {
 		gu.idle = now
--- a/order/order.go
+++ b/order/order.go
@@ -13,7 +13,8 @@
 //  4. An engine whose version no longer serves the step in hand loads at once.
 //     Trainers permit the version before the named one; an engine that holds it
 //     loads when it is idle and no other one is in need. The owner of the step
-//     empties engines for that.
+//     empties engines for that. A need that is not met within NeedPatience holds
+//     nobody up: that engine or its row is cut off.
 //  5. While an order is in progress there is no other one.
 package order
 
@@ -79,7 +80,8 @@
 type Engine struct {
 	ID   string
 	Home string
-	// Needy engines hold a version that no longer serves the step in hand.
+	// Needy engines hold a version that no longer serves the step in hand, and
+	// go before others.
 	Needy bool
 }
 
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -176,7 +176,11 @@
 			return "m", uint64(ro.ID.Key[0] - '0'), ro.ID.Key != "config", nil
 		},
 		Target: func(ro table.Row) (fleet.Target, error) {
-			return fleet.Target{ID: ro.ID.Key, Addr: ro.ID.Key, Service: "lm", Slots: 12, Models: map[string]uint64{"m": 1}}, nil
+			loaded := uint64(1)
+			if len(ro.Value) > 0 {
+				loaded = uint64(ro.Value[0])
+			}
+			return fleet.Target{ID: ro.ID.Key, Addr: ro.ID.Key, Service: "lm", Slots: 12, Models: map[string]uint64{"m": loaded}}, nil
 		},
 	}
 }
@@ -223,6 +227,48 @@
 	})
 }
 
+// The load pattern: an engine whose guard and row are cut off from the store
+// stays at its version while two more are named. It is in need for as long as
+// the cut lasts, and the others load all the same.
+func TestNeedThatIsNotMet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo, stop := start(t, 4)
+		defer stop()
+		put(t, wo.rows, "targets", addr(9))
+		home, err := order.Row{Home: "m"}.Encode()
+		require.NoError(t, err)
+		_, err = wo.rows.Commit(context.Background(), table.Tx{Puts: []table.Put{{ID: table.ID{Table: order.Table, Key: addr(9)}, Value: home}}})
+		require.NoError(t, err)
+		put(t, wo.rows, "op", "2")
+		time.Sleep(6 * time.Second)
+		for at, po := range wo.ports {
+			version, _, _ := po.look()
+			require.EqualValues(t, 2, version)
+			id := table.ID{Table: "targets", Key: addr(at)}
+			_, err = wo.rows.Commit(context.Background(), table.Tx{Puts: []table.Put{{ID: id, Value: []byte{2}}}})
+			require.NoError(t, err)
+		}
+		put(t, wo.rows, "op", "3")
+		time.Sleep(8 * time.Second)
+		for _, po := range wo.ports {
+			version, _, _ := po.look()
+			require.EqualValues(t, 3, version)
+		}
+	})
+}
+
+func TestNeeds(t *testing.T) {
+	now := time.Unix(0, 0)
+	var ne order.Needs
+	require.False(t, ne.First(now, "a", false))
+	require.True(t, ne.First(now, "a", true))
+	require.True(t, ne.First(now.Add(order.NeedPatience), "a", true))
+	require.False(t, ne.First(now.Add(order.NeedPatience+1), "a", true), "it had its time")
+	require.True(t, ne.First(now, "b", true), "each engine has a time of its own")
+	ne.First(now, "a", false)
+	require.True(t, ne.First(now.Add(time.Hour), "a", true), "a later need counts anew")
+}
+
 // A guard that is gone while its engine loads holds its slot only for a while.
 func TestSlotOfADeadGuard(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
