poison, calls, intake: requests that crash their targets are known at every entry

Cause: on the platform's path nothing remembered a request that crashes the targets that run it; it could come again at any entry and cost up to three targets each time. The product's own rule (a suspect runs alone) needs a guard in the way of requests, which the platform's path does not have. So losses are counted: from three losses at two or more targets on, what has the same method, host, path and body is refused at once for ten minutes, with an answer that does not ask to come back. Losses are rows of the store, which every entry follows; their home drops them when they lapse. Ruled out: counting targets only (one that starts again under its id would count once), waiting for the registry to confirm a death (it lags by seconds). TestRequestThatCrashesTargets: 3 targets over 8 requests at two entries. TestLossesAreShared fails without the rows.

--- a/calls/calls.go
+++ b/calls/calls.go
@@ -23,6 +23,8 @@
 //     whole event when its target breaks off or is silent for streamStall; what
 //     the caller sees is one answer with the headers of the first target.
 //  8. A stream that can't go on is broken off, so that it never looks whole.
+//  9. A request that made poison.MostLosses targets break off, at any entry, is
+//     sent to no further one. What comes again with its content is refused at once.
 package calls
 
 import (
@@ -38,6 +40,7 @@
 	"bilberryshelf/core"
 	"bilberryshelf/fleet"
 	"bilberryshelf/meter"
+	"bilberryshelf/poison"
 )
 
 const (
@@ -98,6 +101,10 @@
 	Meters   *meter.Set
 	Draw     func(below int) int
 	Board    *Board
+	// Losses counts the targets that requests cost; Tell, if set, is told of each
+	// loss that is seen here and must not block.
+	Losses poison.Tally
+	Tell   func(lo poison.Loss)
 }
 
 // outcome is what came of one attempt.
@@ -113,6 +120,7 @@
 	ca      *Caller
 	re      Request
 	service string
+	digest  uint64
 	tried   []string
 	results chan outcome
 	open    int
@@ -122,13 +130,18 @@
 	last    *core.Error
 }
 
+func newAttempts(ca *Caller, re Request) *attempts {
+	return &attempts{ca: ca, re: re, service: re.Route.Pick(ca.Draw), digest: re.digest()}
+}
+
 // Do serves a request. Its errors carry a verdict and, where the request did
 // not run, the time to come back.
 func (ca *Caller) Do(ctx context.Context, re Request) (Answer, *core.Error) {
 	started := ca.Clock.Now()
 	ctx, cancel := context.WithDeadline(ctx, re.Deadline)
 	defer cancel()
-	at := &attempts{ca: ca, re: re, service: re.Route.Pick(ca.Draw), results: make(chan outcome, ca.most(re)+MostRefusals)}
+	at := newAttempts(ca, re)
+	at.results = make(chan outcome, ca.most(re)+MostRefusals)
 	answer, err := at.run(ctx)
 	now := ca.Clock.Now()
 	more := []any{"status", answer.Status}
@@ -201,7 +214,7 @@
 	if (doubt && !repeatable(at.re.Route)) || at.sent >= ca.most(at.re) || at.refused >= MostRefusals || ctx.Err() != nil {
 		return fleet.Target{}, false
 	}
-	if at.re.Deadline.Sub(ca.Clock.Now()) < at.share(leastShare) {
+	if at.re.Deadline.Sub(ca.Clock.Now()) < at.share(leastShare) || at.condemned() != nil {
 		return fleet.Target{}, false
 	}
 	ta, found := ca.Board.choose(ca.Clock.Now(), at.service, at.tried, ca.Draw)
@@ -231,7 +244,9 @@
 		began := ca.Clock.Now()
 		answer, err := ca.Sender.Send(ctx, ta, at.re)
 		ou := outcome{target: ta, answer: answer, err: core.AsError(err), took: ca.Clock.Now().Sub(began)}
-		ca.Board.end(ca.Clock.Now(), ta.ID, ou, ctx.Err() != nil)
+		dropped := ctx.Err() != nil
+		ca.Board.end(ca.Clock.Now(), ta.ID, ou, dropped)
+		at.lost(ou, dropped)
 		at.results <- ou
 	}()
 	return true
@@ -254,6 +269,9 @@
 // giveUp is the final answer when no target is left to ask.
 func (at *attempts) giveUp() *core.Error {
 	verdict := at.verdict
+	if refused := at.condemned(); refused != nil && at.sent == 0 {
+		return refused
+	}
 	if left := at.re.Deadline.Sub(at.ca.Clock.Now()); verdict == "" && left < at.share(leastShare) {
 		return core.Refuse(core.CodeDeadline, "only %v are left, too little for a target", left)
 	}
--- /dev/null
+++ b/calls/poison_test.go
@@ -0,0 +1,67 @@
+package calls_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/calls"
+	"bilberryshelf/conf"
+	"bilberryshelf/core"
+	"bilberryshelf/fleet"
+	"bilberryshelf/poison"
+)
+
+// crashing targets break off when they run one body.
+type crashing struct {
+	targets
+	body string
+}
+
+func (cr *crashing) Send(ctx context.Context, ta fleet.Target, re calls.Request) (calls.Answer, error) {
+	an, err := cr.targets.Send(ctx, ta, re)
+	if string(re.Body) == cr.body {
+		return calls.Answer{}, core.Doubt(core.CodeTargetLost, "connection reset")
+	}
+	return an, err
+}
+
+// The load pattern: a request that crashes its target comes again, at any entry,
+// under a new id each time.
+func TestRequestThatCrashesTargets(t *testing.T) {
+	for _, kind := range []conf.Kind{conf.Idempotent, conf.Once} {
+		synctest.Test(t, func(t *testing.T) {
+			cr := &crashing{body: "bad"}
+			entries := []*calls.Caller{caller(&cr.targets, 9), caller(&cr.targets, 9)}
+			for at, ca := range entries {
+				ca.Sender = cr
+				ca.Tell = func(lo poison.Loss) { entries[1-at].Losses.Take(lo) }
+			}
+			id := 0
+			send := func(at int, body string) *core.Error {
+				re := request(kind, time.Second)
+				id++
+				re.ID, re.Body = fmt.Sprint(id), []byte(body)
+				_, err := entries[at%2].Do(context.Background(), re)
+				return err
+			}
+			for at := range 8 {
+				require.NotNil(t, send(at, "bad"))
+			}
+			require.Len(t, cr.asked, poison.MostLosses, "it reaches no further target, wherever it comes")
+			began := time.Now()
+			err := send(0, "bad")
+			require.Equal(t, core.CodePoison, err.Code)
+			require.Equal(t, core.NotRun, err.Verdict)
+			require.Zero(t, err.RetryAfter, "it need not come back")
+			require.Zero(t, time.Since(began))
+			require.Nil(t, send(0, "good"), "other content is served")
+			time.Sleep(poison.DefaultLapse)
+			require.Equal(t, core.CodeTargetLost, send(0, "bad").Code, "the losses lapse")
+		})
+	}
+}
--- a/calls/stream.go
+++ b/calls/stream.go
@@ -60,7 +60,7 @@
 	started := ca.Clock.Now()
 	ctx, cancel := context.WithDeadline(ctx, re.Deadline)
 	defer cancel()
-	st := &stream{attempts: &attempts{ca: ca, re: re, service: re.Route.Pick(ca.Draw)}, sink: sink, after: re.After, heard: started}
+	st := &stream{attempts: newAttempts(ca, re), sink: sink, after: re.After, heard: started}
 	err := st.run(ctx, started)
 	st.record(err, ca.Clock.Now().Sub(started), "events", st.events, "after", st.after, "first", st.first)
 	return err
@@ -150,7 +150,9 @@
 		err = core.Doubt(core.CodeTargetLost, "target %s is silent", ta.ID)
 	}
 	ou := outcome{target: ta, err: core.AsError(err), took: first}
-	ca.Board.end(ca.Clock.Now(), ta.ID, ou, gone(ou.err) || (ctx.Err() != nil && !stalled.Load()))
+	dropped := gone(ou.err) || (ctx.Err() != nil && !stalled.Load())
+	ca.Board.end(ca.Clock.Now(), ta.ID, ou, dropped)
+	st.lost(ou, dropped || stalled.Load())
 	return err
 }
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -24,6 +24,7 @@
 	"bilberryshelf/member"
 	"bilberryshelf/meter"
 	"bilberryshelf/order"
+	"bilberryshelf/poison"
 	"bilberryshelf/runs"
 	"bilberryshelf/table"
 	"bilberryshelf/via"
@@ -84,6 +85,8 @@
 	regions   map[string]string
 	orphans   map[string]time.Time
 	dials     map[string]table.Caller
+
+	losses chan poison.Loss
 }
 
 // Ports is how an entry reaches the rest of the system.
@@ -113,12 +116,13 @@
 		settings: se, name: se.Node + "/" + strconv.FormatUint(rand.Uint64(), 36), clock: clock, logger: lg, meters: me,
 		decoders: de, index: batch.NewIndex(lg), board: &calls.Board{}, loop: core.NewLoop(), dial: po.Dial, starter: po.Starter,
 		done: make(chan struct{}), malformed: map[string]bool{}, orphans: map[string]time.Time{}, dials: map[string]table.Caller{},
+		losses: make(chan poison.Loss, mostLosses),
 	}
 	en.ctx, en.stop = context.WithCancel(context.Background())
 	en.store = &via.Store{Direct: po.Direct, Peers: en.peers, Clock: clock, Logger: lg}
 	en.ledger = batch.Ledger{Store: en.store}
 	en.caller = &calls.Caller{
-		Sender: po.Sender, Streamer: po.Streamer, Clock: clock, Logger: lg, Meters: me, Draw: rand.IntN, Board: en.board,
+		Sender: po.Sender, Streamer: po.Streamer, Clock: clock, Logger: lg, Meters: me, Draw: rand.IntN, Board: en.board, Tell: en.tellLoss,
 	}
 	en.owner = &runs.Owner{
 		Ledger: en.ledger, Index: en.index, Engine: po.Engine, Scorer: en,
@@ -137,6 +141,7 @@
 	group.Go(func() { en.owner.Run(ctx) })
 	group.Go(func() { en.renew(ctx) })
 	group.Go(func() { en.look(ctx) })
+	group.Go(func() { en.shareLosses(ctx) })
 	for _, fe := range en.feeds() {
 		group.Go(func() { fe.Run(ctx) })
 	}
@@ -174,7 +179,7 @@
 	}
 	return []*table.Feed{
 		feed(en.decoders.OperatorTable, en.operator, en.operator), targets, heads, members,
-		feed(order.Table, en.guards, en.guards),
+		feed(order.Table, en.guards, en.guards), feed(poison.Table, en.takeLosses, en.takeLosses),
 	}
 }
 
@@ -355,12 +360,12 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the row of an entry")
 	}
-	call, cancel := context.WithTimeout(ctx, member.Renewal)
-	defer cancel()
-	_, err = en.store.Commit(call, table.Tx{Puts: []table.Put{{ID: member.ID(en.settings.Node), Value: raw}}})
-	return err
+	return en.write(ctx, table.Tx{Puts: []table.Put{{ID: member.ID(en.settings.Node), Value: raw}}})
 }
 
+// writeTime bounds a write of a small row: by then the next renewal is due.
+const writeTime = member.Renewal
+
 // nearTime is how fast an entry near the store writes a row: the store's 4 to 10 ms
 // and a way within the region; the way to another region alone takes 60 ms.
 const nearTime = 40 * time.Millisecond
@@ -386,5 +391,6 @@
 		heads := en.index.All()
 		en.adoptOrphans(ctx, heads)
 		en.forgetOld(ctx, heads)
+		en.forgetLosses(ctx)
 	}
 }
--- /dev/null
+++ b/intake/losses.go
@@ -0,0 +1,89 @@
+package intake
+
+import (
+	"context"
+
+	"github.com/go-kit/log/level"
+
+	"bilberryshelf/poison"
+	"bilberryshelf/table"
+)
+
+// mostLosses bounds the losses that wait to be shared: those of some seconds in
+// which every target is lost. More are known here only.
+const mostLosses = 256
+
+// tellLoss hands a loss to the writer.
+func (en *Entry) tellLoss(lo poison.Loss) {
+	select {
+	case en.losses <- lo:
+	default:
+		en.meters.Count("losses-not-shared", "queue", 1)
+	}
+}
+
+// shareLosses writes losses to the store, where the other entries read them. A
+// loss that can't be written counts here only.
+func (en *Entry) shareLosses(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case lo := <-en.losses:
+			if err := en.shareLoss(ctx, lo); err != nil && ctx.Err() == nil {
+				en.meters.Count("losses-not-shared", "store", 1)
+				level.Warn(en.logger).Log("msg", "loss not shared", "digest", lo.Digest, "target", lo.Target, "err", err) //nolint:errcheck
+			}
+		}
+	}
+}
+
+func (en *Entry) shareLoss(ctx context.Context, lo poison.Loss) error {
+	pu, err := lo.Put()
+	if err != nil {
+		return err
+	}
+	return en.write(ctx, table.Tx{Puts: []table.Put{pu}})
+}
+
+// takeLosses takes rows of losses that any entry wrote.
+func (en *Entry) takeLosses(rows []table.Row) {
+	for _, ro := range rows {
+		if ro.Dropped {
+			continue // it lapses here by itself
+		}
+		lo, err := poison.DecodeRow(ro)
+		if err != nil {
+			level.Warn(en.logger).Log("msg", "row of a loss not readable", "row", ro.Version, "err", err) //nolint:errcheck
+			continue
+		}
+		en.caller.Losses.Take(lo)
+	}
+}
+
+// forgetLosses drops losses that lapsed. The home of the table's name drops their
+// rows.
+func (en *Entry) forgetLosses(ctx context.Context) {
+	lapsed := en.caller.Losses.Sweep(en.clock.Now())
+	if len(lapsed) == 0 || en.home(poison.Table).Name != en.name {
+		return
+	}
+	var tx table.Tx
+	for _, lo := range lapsed[:min(len(lapsed), mostDropped)] {
+		tx.Drops = append(tx.Drops, lo.ID())
+	}
+	if err := en.write(ctx, tx); err != nil {
+		level.Warn(en.logger).Log("msg", "lapsed losses not dropped", "count", len(tx.Drops), "err", err) //nolint:errcheck
+	}
+}
+
+// mostDropped bounds the rows that one transaction drops, below the store's 100.
+const mostDropped = 90
+
+// write writes rows without a condition.
+func (en *Entry) write(ctx context.Context, tx table.Tx) error {
+	call, cancel := context.WithTimeout(ctx, writeTime)
+	defer cancel()
+	_, err := en.store.Commit(call, tx)
+	return err
+}
--- /dev/null
+++ b/intake/losses_test.go
@@ -0,0 +1,48 @@
+package intake_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/calls"
+	"bilberryshelf/conf"
+	"bilberryshelf/core"
+	"bilberryshelf/poison"
+	"bilberryshelf/table"
+)
+
+// The load pattern: a request that crashes each target that runs it comes again
+// at another entry each time, under a new id.
+func TestLossesAreShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo := newWorld(t, 3)
+		defer wo.stop()
+		wo.desk.crash = "bad"
+		send := func(node int, id string) *core.Error {
+			_, err := wo.entries[node].Call(context.Background(), calls.Request{
+				ID: id, Method: "POST", URI: "/score/x", Host: "h", Body: []byte("bad"), Deadline: time.Now().Add(time.Second),
+				Route: conf.Route{Name: "score", Kind: conf.Once, Attempts: 1, Shares: []conf.Share{{Service: "desk", Weight: 1}}},
+			})
+			return err
+		}
+		for at, id := range []string{"a", "b", "c", "d", "e", "f"} {
+			require.NotNil(t, send(at%3, id))
+			time.Sleep(time.Second)
+		}
+		wo.desk.mutex.Lock()
+		reached := len(wo.desk.calls)
+		wo.desk.mutex.Unlock()
+		require.LessOrEqual(t, reached, poison.MostLosses+1, "two targets take turns, one of them by chance")
+		for node := range wo.entries {
+			require.Equal(t, core.CodePoison, send(node, "again").Code)
+		}
+		time.Sleep(poison.DefaultLapse + time.Minute)
+		page, err := wo.rows.List(context.Background(), table.Range{Table: poison.Table})
+		require.NoError(t, err)
+		require.Empty(t, page.Rows, "lapsed losses are dropped from the store")
+	})
+}
--- a/intake/world_test.go
+++ b/intake/world_test.go
@@ -113,6 +113,8 @@
 	// failing scoring calls always get an error.
 	failing map[string]bool
 	calls   map[string]int
+	// crash is the body that makes a target break off; empty for none.
+	crash string
 }
 
 func (de *desk) Send(_ context.Context, _ fleet.Target, re calls.Request) (calls.Answer, error) {
@@ -120,6 +122,9 @@
 	de.mutex.Lock()
 	defer de.mutex.Unlock()
 	de.calls[re.ID]++
+	if de.crash != "" && string(re.Body) == de.crash {
+		return calls.Answer{}, core.Doubt(core.CodeTargetLost, "connection reset")
+	}
 	if de.failing[re.ID] {
 		return calls.Answer{Status: http.StatusInternalServerError, Stamp: "failed"}, nil
 	}
--- /dev/null
+++ b/poison/row.go
@@ -0,0 +1,53 @@
+package poison
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"bilberryshelf/table"
+)
+
+// Table holds a row for each loss that has not lapsed.
+const Table = "poison"
+
+type lossRow struct {
+	// Until is a Unix millisecond of the writer's clock.
+	Until int64 `cbor:"1,keyasint"`
+}
+
+// ID is the row of a loss: digest and attempt in hexadecimal, and the target.
+func (lo Loss) ID() table.ID {
+	return table.ID{Table: Table, Key: fmt.Sprintf("%016x/%016x/%s", lo.Digest, lo.Attempt, lo.Target)}
+}
+
+// Put writes the row of a loss.
+func (lo Loss) Put() (table.Put, error) {
+	raw, err := cbor.Marshal(lossRow{Until: lo.Until.UnixMilli()})
+	return table.Put{ID: lo.ID(), Value: raw}, errors.Wrap(err, "encode a loss")
+}
+
+// DecodeRow reads a row of Table that is not dropped.
+func DecodeRow(ro table.Row) (Loss, error) {
+	parts := strings.SplitN(ro.ID.Key, "/", 3)
+	if len(parts) != 3 {
+		return Loss{}, errors.Newf("row key %q names no loss", ro.ID.Key)
+	}
+	digest, err := strconv.ParseUint(parts[0], 16, 64)
+	if err != nil {
+		return Loss{}, errors.Wrapf(err, "row key %q", ro.ID.Key)
+	}
+	attempt, err := strconv.ParseUint(parts[1], 16, 64)
+	if err != nil {
+		return Loss{}, errors.Wrapf(err, "row key %q", ro.ID.Key)
+	}
+	var row lossRow
+	if err := cbor.Unmarshal(ro.Value, &row); err != nil {
+		return Loss{}, errors.Wrapf(err, "decode loss %s", ro.ID.Key)
+	}
+	return Loss{Digest: digest, Target: parts[2], Attempt: attempt, Until: time.UnixMilli(row.Until)}, nil
+}
