limit, intake, platform: bodies are bounded together

Now the bodies of an entry take memory from one budget, an eighth of the instance's; what does not fit is refused at once with the time to come back, and one that is larger than the budget is taken alone. A body with a length takes its memory once; one without doubles as it grows.

--- a/boot/node.go
+++ b/boot/node.go
@@ -26,6 +26,9 @@
 	// a twentieth of a core, an entry may have those of all routes, and a start of a
 	// step comes at once.
 	weakCores = 0.5
+	// bodyShare is the part of the instance's memory that bodies may take as they
+	// came: a job is kept decoded, encoded and in the text of a call as well.
+	bodyShare = 0.125
 	// gcPercent keeps the heap small: memory is paid for by its peak.
 	gcPercent = 50
 )
@@ -43,7 +46,7 @@
 	inner := &http.Client{Transport: innerTransport()}
 	en := intake.New(intake.Settings{
 		Node: se.Name, Region: se.Place.Region, Domain: se.Place.FailureDomain, Inner: se.Listen.Inner, Grace: se.Timing.Grace.Std(),
-		Weak: se.Instance.Cores < weakCores,
+		Weak: se.Instance.Cores < weakCores, Bodies: int64(bodyShare * float64(se.Instance.Memory)),
 	}, intake.Ports{
 		Direct: store, Sender: targets, Streamer: targets, Engine: targets,
 		Dial: func(addr string) table.Caller { return via.NewClient(inner, addr) },
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -21,6 +21,7 @@
 	"bilberryshelf/conf"
 	"bilberryshelf/core"
 	"bilberryshelf/fleet"
+	"bilberryshelf/limit"
 	"bilberryshelf/member"
 	"bilberryshelf/meter"
 	"bilberryshelf/order"
@@ -50,6 +51,8 @@
 	Grace time.Duration
 	// Weak entries take jobs but leave them to others.
 	Weak bool
+	// Bodies bounds the bytes of bodies that are kept together; zero means no bound.
+	Bodies int64
 }
 
 // Entry is one entry. Make it with New.
@@ -87,6 +90,7 @@
 	dials     map[string]table.Caller
 
 	losses chan poison.Loss
+	bodies limit.Space
 }
 
 // Ports is how an entry reaches the rest of the system.
@@ -118,6 +122,7 @@
 		done: make(chan struct{}), malformed: map[string]bool{}, orphans: map[string]time.Time{}, dials: map[string]table.Caller{},
 		losses: make(chan poison.Loss, mostLosses),
 	}
+	en.bodies.Most = se.Bodies
 	en.ctx, en.stop = context.WithCancel(context.Background())
 	en.store = &via.Store{Direct: po.Direct, Peers: en.peers, Clock: clock, Logger: lg}
 	en.ledger = batch.Ledger{Store: en.store}
