--- a/batch/index.go
+++ b/batch/index.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
+	"bilberryshelf/logs"
 	"bilberryshelf/table"
 )
 
@@ -90,7 +90,7 @@
 		}
 		he, err := DecodeHead(ro.Value)
 		if err != nil {
-			level.Error(in.logger).Log("msg", "head not readable", "job", ro.ID.Key, "version", ro.Version, "err", err) //nolint:errcheck
+			logs.Error(in.logger, "head not readable", "job", ro.ID.Key, "version", ro.Version, "err", err)
 			continue
 		}
 		news = in.put(ro.ID.Key, Known{Head: he, Version: ro.Version}) || news
--- a/bench/bench.go
+++ b/bench/bench.go
@@ -78,7 +78,7 @@
 	parser := flags.NewNamedParser("bilberrylab", flags.HelpFlag|flags.PassDoubleDash)
 	for _, co := range commands {
 		if _, err := parser.AddCommand(co.name, co.title, co.text, co.data(out)); err != nil {
-			fmt.Fprintln(errs, err) //nolint:errcheck // there is nowhere else to say it
+			fmt.Fprintln(errs, err) // there is nowhere else to say it
 			return 2
 		}
 	}
@@ -88,13 +88,13 @@
 	case err == nil:
 		return 0
 	case errors.As(err, &wrong) && wrong.Type == flags.ErrHelp:
-		fmt.Fprintln(out, wrong.Message) //nolint:errcheck // help that nobody reads
+		fmt.Fprintln(out, wrong.Message) // help that nobody reads
 		return 0
 	case errors.As(err, &wrong):
-		fmt.Fprintln(errs, wrong.Message) //nolint:errcheck // there is nowhere else to say it
+		fmt.Fprintln(errs, wrong.Message) // there is nowhere else to say it
 		return 2
 	}
-	fmt.Fprintln(errs, err) //nolint:errcheck // there is nowhere else to say it
+	fmt.Fprintln(errs, err) // there is nowhere else to say it
 	return 1
 }
 
@@ -170,6 +170,6 @@
 	if err != nil {
 		return errors.Wrap(err, "print")
 	}
-	fmt.Fprintln(out, string(raw)) //nolint:errcheck // output
+	fmt.Fprintln(out, string(raw))
 	return nil
 }
--- a/bench/checks.go
+++ b/bench/checks.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return noAnswer
 	}
-	defer res.Body.Close() //nolint:errcheck // read below
+	defer res.Body.Close() // read below
 	raw, err := io.ReadAll(res.Body)
 	if err != nil {
 		return noAnswer
@@ -148,13 +148,13 @@
 func (co *checksCommand) readRuns() (map[string]int, error) {
 	runs := map[string]int{}
 	for _, url := range co.Services {
-		res, err := http.Get(url + "/runs") //nolint:noctx,gosec // a stand-in on loopback
+		res, err := http.Get(url + "/runs") // a stand-in on loopback
 		if err != nil {
 			return nil, errors.Wrap(err, "read the runs")
 		}
 		var part map[string]int
 		err = json.NewDecoder(res.Body).Decode(&part)
-		res.Body.Close() //nolint:errcheck // read above
+		res.Body.Close() // read above
 		if err != nil {
 			return nil, errors.Wrap(err, "read the runs")
 		}
--- a/bench/idle.go
+++ b/bench/idle.go
@@ -164,7 +164,7 @@
 		if err := fault(co.Platform, `{"down":true}`); err != nil {
 			return nil, err
 		}
-		defer fault(co.Platform, `{}`) //nolint:errcheck // the run ends with it
+		defer fault(co.Platform, `{}`) // the run ends with it
 	}
 	times := make([]time.Duration, len(co.URLs))
 	var wait sync.WaitGroup
@@ -195,7 +195,7 @@
 }
 
 func fault(platform, body string) error {
-	res, err := http.Post(platform+"/fault", "application/json", bytes.NewReader([]byte(body))) //nolint:noctx,gosec // a process on loopback
+	res, err := http.Post(platform+"/fault", "application/json", bytes.NewReader([]byte(body))) // a process on loopback
 	if err != nil {
 		return errors.Wrap(err, "fault")
 	}
--- a/bench/load.go
+++ b/bench/load.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return 0, err
 	}
-	defer res.Body.Close() //nolint:errcheck // read to its end
+	defer res.Body.Close() // read to its end
 	_, err = io.Copy(io.Discard, res.Body)
 	return res.StatusCode, err
 }
--- a/bench/page.go
+++ b/bench/page.go
@@ -299,5 +299,5 @@
 	if err != nil {
 		return err
 	}
-	return errors.Wrap(os.WriteFile(co.File, []byte(next), 0o644), "page") //nolint:gosec // a page to be read by all
+	return errors.Wrap(os.WriteFile(co.File, []byte(next), 0o644), "page") // a page to be read by all
 }
--- a/bench/slope.go
+++ b/bench/slope.go
@@ -120,7 +120,7 @@
 			if fi, err = sl.run(); err != nil {
 				return err
 			}
-			fmt.Fprintf(co.out, "%-16s %12.4g %s per %s, base %.4g, r2 %.3f, spread %.0f%%\n", //nolint:errcheck // output
+			fmt.Fprintf(co.out, "%-16s %12.4g %s per %s, base %.4g, r2 %.3f, spread %.0f%%\n",
 				fi.ID, fi.Slope, fi.YUnit, fi.XUnit, fi.Base, fi.Straight, fi.Spread*100)
 			if err := fi.plot(co.Into); err != nil {
 				return err
@@ -132,7 +132,7 @@
 	if err != nil {
 		return errors.Wrap(err, "slopes")
 	}
-	return errors.Wrap(os.WriteFile(filepath.Join(co.Into, slopesFile), append(raw, '\n'), 0o644), "slopes") //nolint:gosec // a file to be read by all
+	return errors.Wrap(os.WriteFile(filepath.Join(co.Into, slopesFile), append(raw, '\n'), 0o644), "slopes") // a file to be read by all
 }
 
 // ReadSlopes reads what the command wrote.
@@ -166,7 +166,7 @@
 	line := plotter.NewFunction(func(x float64) float64 { return fi.Base + fi.Slope*x })
 	pl.Add(dots, line, plotter.NewGrid())
 	pl.Y.Min = 0
-	if err := os.MkdirAll(folder, 0o755); err != nil { //nolint:gosec // a folder to be read by all
+	if err := os.MkdirAll(folder, 0o755); err != nil { // a folder to be read by all
 		return errors.Wrap(err, "plot")
 	}
 	return errors.Wrap(pl.Save(plotWidth, plotHeight, filepath.Join(folder, fi.ID+".svg")), "plot")
--- a/bench/system.go
+++ b/bench/system.go
@@ -114,11 +114,11 @@
 
 // metric reads a counter of inner traffic.
 func metric(url, name string) float64 {
-	res, err := http.Get(url + "/metrics") //nolint:noctx,gosec // a process on loopback
+	res, err := http.Get(url + "/metrics") // a process on loopback
 	if err != nil {
 		return 0
 	}
-	defer res.Body.Close() //nolint:errcheck // read below
+	defer res.Body.Close() // read below
 	var buf bytes.Buffer
 	_, _ = buf.ReadFrom(res.Body)
 	for line := range strings.SplitSeq(buf.String(), "\n") {
--- a/calls/calls.go
+++ b/calls/calls.go
@@ -34,11 +34,11 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
 	"bilberryshelf/conf"
 	"bilberryshelf/core"
 	"bilberryshelf/fleet"
+	"bilberryshelf/logs"
 	"bilberryshelf/meter"
 	"bilberryshelf/poison"
 )
@@ -164,12 +164,12 @@
 	}, more...)
 	if err == nil {
 		ca.Meters.Count("requests-answered", route, 1)
-		level.Info(ca.Logger).Log(append([]any{"msg", "request answered"}, fields...)...) //nolint:errcheck
+		logs.Info(ca.Logger, "request answered", fields...)
 		return
 	}
 	ca.Meters.Count("requests-refused", string(err.Code), 1)
 	fields = append(fields, "service", at.service, "sent", at.sent, "verdict", err.Verdict, "code", err.Code, "text", err.Text)
-	level.Warn(ca.Logger).Log(append([]any{"msg", "request not served"}, fields...)...) //nolint:errcheck
+	logs.Warn(ca.Logger, "request not served", fields...)
 }
 
 func (at *attempts) run(ctx context.Context) (Answer, *core.Error) {
--- a/calls/poison.go
+++ b/calls/poison.go
@@ -2,9 +2,9 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-kit/log/level"
 
 	"bilberryshelf/core"
+	"bilberryshelf/logs"
 )
 
 // digest names a request by its content: what makes it crash a target comes
@@ -34,7 +34,7 @@
 	}
 	ca := at.ca
 	lo := ca.Losses.Lost(ca.Clock.Now(), at.digest, ou.target.ID, xxhash.Sum64String(at.re.ID))
-	level.Info(ca.Logger).Log("msg", "target lost by a request", "id", at.re.ID, "digest", lo.Digest, "target", lo.Target, //nolint:errcheck
+	logs.Info(ca.Logger, "target lost by a request", "id", at.re.ID, "digest", lo.Digest, "target", lo.Target,
 		"code", ou.err.Code, "condemned", ca.Losses.Condemned(ca.Clock.Now(), at.digest))
 	if ca.Tell != nil {
 		ca.Tell(lo)
--- a/calls/stream.go
+++ b/calls/stream.go
@@ -6,10 +6,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"bilberryshelf/core"
 	"bilberryshelf/fleet"
+	"bilberryshelf/logs"
 )
 
 const (
@@ -86,7 +85,7 @@
 			return err
 		}
 		if st.begun && repeatable(st.re.Route) {
-			level.Info(st.ca.Logger).Log("msg", "stream goes on elsewhere", "id", st.re.ID, "from", ta.ID, "after", st.after, //nolint:errcheck
+			logs.Info(st.ca.Logger, "stream goes on elsewhere", "id", st.re.ID, "from", ta.ID, "after", st.after,
 				"silent", st.ca.Clock.Now().Sub(st.heard), "code", err.Code, "text", err.Text)
 		}
 	}
--- a/client/trainer.go
+++ b/client/trainer.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return core.Doubt(core.CodeAnswerCut, "%v", err)
 	}
-	defer res.Body.Close() //nolint:errcheck // a failed close of a read body loses nothing
+	defer res.Body.Close() // a failed close of a read body loses nothing
 	raw, err := io.ReadAll(io.LimitReader(res.Body, answerLimit))
 	if err != nil {
 		return core.Doubt(core.CodeAnswerCut, "%v", err)
--- a/engine/client.go
+++ b/engine/client.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	defer res.Body.Close() //nolint:errcheck // a failed close of a read body loses nothing
+	defer res.Body.Close() // a failed close of a read body loses nothing
 	body, err := io.ReadAll(io.LimitReader(res.Body, answerLimit))
 	return body, res.StatusCode, err
 }
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -39,7 +39,7 @@
 			b.Fatal(err)
 		}
 		_, _ = io.Copy(io.Discard, res.Body)
-		res.Body.Close() //nolint:errcheck // read above
+		res.Body.Close() // read above
 		if res.StatusCode != http.StatusOK {
 			b.Fatal(res.Status)
 		}
--- a/entry/caller_test.go
+++ b/entry/caller_test.go
@@ -320,7 +320,7 @@
 		if err != nil {
 			return false
 		}
-		defer res.Body.Close() //nolint:errcheck // nothing to read
+		defer res.Body.Close() // nothing to read
 		return res.StatusCode == http.StatusServiceUnavailable
 	}, patience, 5*time.Millisecond)
 	text, failed, whole := textOf(<-done)
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -201,7 +201,7 @@
 		return
 	}
 	if rp.events {
-		fmt.Fprintf(rp.out, "data: %s\n\n", errorBody(er)) //nolint:errcheck // the connection is cut next
+		fmt.Fprintf(rp.out, "data: %s\n\n", errorBody(er)) // the connection is cut next
 		_ = http.NewResponseController(rp.out).Flush()
 	}
 	panic(http.ErrAbortHandler)
--- a/fake/generation.go
+++ b/fake/generation.go
@@ -37,7 +37,7 @@
 }
 
 func (ge *generation) event(text, finish string) {
-	fmt.Fprintf(ge.out, "data: %s\n\n", ge.object(text, finish)) //nolint:errcheck // the caller went away
+	fmt.Fprintf(ge.out, "data: %s\n\n", ge.object(text, finish)) // the caller went away
 	_ = http.NewResponseController(ge.out).Flush()
 }
 
@@ -72,5 +72,5 @@
 		return
 	}
 	ge.event("", "stop")
-	fmt.Fprint(ge.out, "data: [DONE]\n\n") //nolint:errcheck // the caller went away
+	fmt.Fprint(ge.out, "data: [DONE]\n\n") // the caller went away
 }
--- a/fake/weights.go
+++ b/fake/weights.go
@@ -55,11 +55,11 @@
 	if !strings.HasPrefix(object, "http") {
 		return http.StatusOK
 	}
-	res, err := http.Get(object) //nolint:gosec,noctx // a stand-in fetching from a stand-in
+	res, err := http.Get(object) // a stand-in fetching from a stand-in
 	if err != nil {
 		return http.StatusBadGateway
 	}
-	defer res.Body.Close() //nolint:errcheck // read below
+	defer res.Body.Close() // read below
 	_, _ = io.Copy(io.Discard, res.Body)
 	return res.StatusCode
 }
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return nil, gu.sendError(err)
 	}
-	defer res.Body.Close() //nolint:errcheck // the body was read to its end or given up
+	defer res.Body.Close() // the body was read to its end or given up
 	if busy := gu.busyEngine(res); busy != nil {
 		return nil, busy
 	}
--- a/intake/adopt.go
+++ b/intake/adopt.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"bilberryshelf/batch"
+	"bilberryshelf/logs"
 	"bilberryshelf/table"
 )
 
@@ -68,7 +67,7 @@
 	former := kn.Head.Owner
 	kn, err := en.ledger.Adopt(call, job, kn, en.name)
 	if err != nil {
-		level.Info(en.logger).Log("msg", "job not adopted", "id", job, "owner", former, "err", err) //nolint:errcheck
+		logs.Info(en.logger, "job not adopted", "id", job, "owner", former, "err", err)
 		if kn.Version > 0 {
 			en.index.Put(job, kn)
 		}
@@ -77,15 +76,15 @@
 	en.index.Put(job, kn)
 	body, listed, err := en.load(call, job, kn)
 	if err != nil {
-		level.Warn(en.logger).Log("msg", "adopted job not read", "id", job, "err", err) //nolint:errcheck
-		return                                                                          // it is tried again after ownWait
+		logs.Warn(en.logger, "adopted job not read", "id", job, "err", err)
+		return // it is tried again after ownWait
 	}
 	route, _, failed := en.Find(body.Host, body.Path)
 	if failed != nil {
-		level.Warn(en.logger).Log("msg", "adopted job has no route", "id", job, "err", failed) //nolint:errcheck
+		logs.Warn(en.logger, "adopted job has no route", "id", job, "err", failed)
 		return
 	}
-	level.Info(en.logger).Log("msg", "job adopted", "id", job, "owner", former, "epoch", kn.Head.Epoch, "listed", len(listed)) //nolint:errcheck
+	logs.Info(en.logger, "job adopted", "id", job, "owner", former, "epoch", kn.Head.Epoch, "listed", len(listed))
 	en.owner.Start(body, kn, route, listed)
 }
 
--- a/intake/forget.go
+++ b/intake/forget.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"bilberryshelf/batch"
+	"bilberryshelf/logs"
 )
 
 // KeepFor is how long after its submission a job stays readable: five times the
@@ -22,7 +21,7 @@
 			continue
 		}
 		err := en.ledger.Forget(ctx, job, kn)
-		level.Info(en.logger).Log("msg", "job forgotten", "id", job, "age", kn.Head.Age(now), "listed", kn.Head.Listed, "err", err) //nolint:errcheck
+		logs.Info(en.logger, "job forgotten", "id", job, "age", kn.Head.Age(now), "listed", kn.Head.Listed, "err", err)
 		return
 	}
 }
--- a/intake/hand.go
+++ b/intake/hand.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"bilberryshelf/batch"
 	"bilberryshelf/conf"
+	"bilberryshelf/logs"
 	"bilberryshelf/member"
 	"bilberryshelf/wire"
 )
@@ -45,7 +44,7 @@
 		if err == nil {
 			return
 		}
-		level.Warn(en.logger).Log("msg", "job not handed over, taken back", "id", jo.ID, "owner", home.Name, "err", err) //nolint:errcheck
+		logs.Warn(en.logger, "job not handed over, taken back", "id", jo.ID, "owner", home.Name, "err", err)
 		en.adopt(en.ctx, jo.ID, kn)
 	}()
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -14,7 +14,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
 	"bilberryshelf/batch"
 	"bilberryshelf/calls"
@@ -22,6 +21,7 @@
 	"bilberryshelf/core"
 	"bilberryshelf/fleet"
 	"bilberryshelf/limit"
+	"bilberryshelf/logs"
 	"bilberryshelf/member"
 	"bilberryshelf/meter"
 	"bilberryshelf/order"
@@ -195,7 +195,7 @@
 		re, err := order.DecodeRow(ro)
 		switch {
 		case err != nil:
-			level.Warn(en.logger).Log("msg", "row of a guard not readable", "err", err) //nolint:errcheck
+			logs.Warn(en.logger, "row of a guard not readable", "err", err)
 		case order.IsSlot(ro):
 			en.owner.Loading(ro.ID.Key, re.Holder)
 		default:
@@ -208,19 +208,19 @@
 func (en *Entry) operator(rows []table.Row) {
 	for _, ro := range rows {
 		if model, version, ok, err := en.decoders.Version(ro); err != nil {
-			level.Error(en.logger).Log("msg", "named version not readable", "row", ro.Version, "err", err) //nolint:errcheck
+			logs.Error(en.logger, "named version not readable", "row", ro.Version, "err", err)
 		} else if ok {
 			en.owner.Named(model, version)
 		}
 		co, err := en.decoders.Config(ro)
 		if err != nil {
-			level.Error(en.logger).Log("msg", "configuration not readable", "row", ro.Version, "err", err) //nolint:errcheck
+			logs.Error(en.logger, "configuration not readable", "row", ro.Version, "err", err)
 			continue
 		}
 		have := en.config.Load()
 		if next := conf.Newer(have, co); next != have {
 			en.config.Store(next)
-			level.Info(en.logger).Log("msg", "configuration adopted", "version", next.Version, "routes", next.Routes(), "row", ro.Version) //nolint:errcheck
+			logs.Info(en.logger, "configuration adopted", "version", next.Version, "routes", next.Routes(), "row", ro.Version)
 		}
 	}
 	en.becomeReady()
@@ -228,7 +228,7 @@
 
 func (en *Entry) becomeReady() {
 	if en.config.Load() != nil && en.ready.CompareAndSwap(false, true) {
-		level.Info(en.logger).Log("msg", "ready") //nolint:errcheck
+		logs.Info(en.logger, "ready")
 	}
 }
 
@@ -246,7 +246,7 @@
 		dropped = append(dropped, ro.ID.Key) // it names no target to use
 		if !en.malformed[ro.ID.Key] {
 			en.malformed[ro.ID.Key] = true
-			level.Warn(en.logger).Log("msg", "target ignored", "id", ro.ID.Key, "row", ro.Version, "err", err) //nolint:errcheck
+			logs.Warn(en.logger, "target ignored", "id", ro.ID.Key, "row", ro.Version, "err", err)
 		}
 	}
 	return all, dropped
@@ -266,12 +266,12 @@
 	for _, ta := range all {
 		en.fleet.Put(ta)
 		if ta.Draining {
-			level.Info(en.logger).Log("msg", "target draining", "id", ta.ID, "service", ta.Service, "addr", ta.Addr) //nolint:errcheck
+			logs.Info(en.logger, "target draining", "id", ta.ID, "service", ta.Service, "addr", ta.Addr)
 		}
 	}
 	for _, id := range dropped {
 		at := en.fleet.Drop(en.clock.Now(), id)
-		level.Info(en.logger).Log("msg", "target dropped", "id", id, "at-once", at) //nolint:errcheck
+		logs.Info(en.logger, "target dropped", "id", id, "at-once", at)
 	}
 	en.mutex.Unlock()
 	en.publish()
@@ -306,7 +306,7 @@
 	en.mutex.Lock()
 	for _, ro := range rows {
 		if err := en.members.Put(en.clock.Now(), ro); err != nil {
-			level.Warn(en.logger).Log("msg", "row of an entry not readable", "node", ro.ID.Key, "err", err) //nolint:errcheck
+			logs.Warn(en.logger, "row of an entry not readable", "node", ro.ID.Key, "err", err)
 		}
 	}
 	regions := en.members.Regions()
@@ -351,7 +351,7 @@
 			near = true // a slow store later says nothing of the distance
 		}
 		if err != nil && ctx.Err() == nil {
-			level.Warn(en.logger).Log("msg", "row not renewed", "beat", beat, "err", err) //nolint:errcheck
+			logs.Warn(en.logger, "row not renewed", "beat", beat, "err", err)
 		}
 		select {
 		case <-ctx.Done():
@@ -390,7 +390,7 @@
 		gone := en.fleet.Sweep(en.clock.Now())
 		en.mutex.Unlock()
 		if len(gone) > 0 {
-			level.Info(en.logger).Log("msg", "targets did not come back", "count", len(gone)) //nolint:errcheck
+			logs.Info(en.logger, "targets did not come back", "count", len(gone))
 			en.publish()
 		}
 		heads := en.index.All()
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -5,11 +5,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/go-kit/log/level"
 
 	"bilberryshelf/batch"
 	"bilberryshelf/conf"
 	"bilberryshelf/core"
+	"bilberryshelf/logs"
 	"bilberryshelf/table"
 )
 
@@ -62,7 +62,7 @@
 		Epoch: 1, Owner: home.Name, Total: len(jo.Items), Submitted: en.clock.Now().UnixMilli(), Route: route.Name,
 	}
 	kn, err := en.ledger.Accept(ctx, jo, he)
-	level.Info(en.logger).Log("msg", "job submitted", "id", jo.ID, "route", route.Name, "step", jo.Step, "items", len(jo.Items), //nolint:errcheck
+	logs.Info(en.logger, "job submitted", "id", jo.ID, "route", route.Name, "step", jo.Step, "items", len(jo.Items),
 		"groups", jo.Groups, "owner", home.Name, "version", kn.Version, "err", err)
 	switch {
 	case err == nil:
@@ -180,7 +180,7 @@
 			} else if err != nil {
 				return core.Doubt(core.CodeUnsettled, "it is not known whether the job was ended: %v", err)
 			}
-			level.Info(en.logger).Log("msg", "job ended", "id", job, "listed", kn.Head.Listed, "total", kn.Head.Total, "version", kn.Version) //nolint:errcheck
+			logs.Info(en.logger, "job ended", "id", job, "listed", kn.Head.Listed, "total", kn.Head.Total, "version", kn.Version)
 		}
 		en.index.Put(job, kn)
 		en.owner.End(job)
--- a/intake/losses.go
+++ b/intake/losses.go
@@ -3,8 +3,7 @@
 import (
 	"context"
 
-	"github.com/go-kit/log/level"
-
+	"bilberryshelf/logs"
 	"bilberryshelf/poison"
 	"bilberryshelf/table"
 )
@@ -32,7 +31,7 @@
 		case lo := <-en.losses:
 			if err := en.shareLoss(ctx, lo); err != nil && ctx.Err() == nil {
 				en.meters.Count("losses-not-shared", "store", 1)
-				level.Warn(en.logger).Log("msg", "loss not shared", "digest", lo.Digest, "target", lo.Target, "err", err) //nolint:errcheck
+				logs.Warn(en.logger, "loss not shared", "digest", lo.Digest, "target", lo.Target, "err", err)
 			}
 		}
 	}
@@ -54,7 +53,7 @@
 		}
 		lo, err := poison.DecodeRow(ro)
 		if err != nil {
-			level.Warn(en.logger).Log("msg", "row of a loss not readable", "row", ro.Version, "err", err) //nolint:errcheck
+			logs.Warn(en.logger, "row of a loss not readable", "row", ro.Version, "err", err)
 			continue
 		}
 		en.caller.Losses.Take(lo)
@@ -73,7 +72,7 @@
 		tx.Drops = append(tx.Drops, lo.ID())
 	}
 	if err := en.write(ctx, tx); err != nil {
-		level.Warn(en.logger).Log("msg", "lapsed losses not dropped", "count", len(tx.Drops), "err", err) //nolint:errcheck
+		logs.Warn(en.logger, "lapsed losses not dropped", "count", len(tx.Drops), "err", err)
 	}
 }
 
--- a/intake/stop.go
+++ b/intake/stop.go
@@ -4,8 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/go-kit/log/level"
-
+	"bilberryshelf/logs"
 	"bilberryshelf/member"
 	"bilberryshelf/table"
 )
@@ -29,7 +28,7 @@
 	if !en.leaving.CompareAndSwap(false, true) {
 		return
 	}
-	level.Info(en.logger).Log("msg", "stopping", "grace", en.settings.Grace) //nolint:errcheck
+	logs.Info(en.logger, "stopping", "grace", en.settings.Grace)
 	started := en.clock.Now()
 	elapsed := func() time.Duration { return en.clock.Now().Sub(started) }
 	for elapsed() < en.settings.Grace-releaseBefore {
@@ -42,10 +41,10 @@
 	defer cancel()
 	en.owner.Release(call)
 	if _, err := en.store.Commit(call, table.Tx{Drops: []table.ID{member.ID(en.settings.Node)}}); err != nil {
-		level.Warn(en.logger).Log("msg", "row not dropped", "err", err) //nolint:errcheck
+		logs.Warn(en.logger, "row not dropped", "err", err)
 	}
 	en.stop()
-	level.Info(en.logger).Log("msg", "stopped", "after", elapsed()) //nolint:errcheck
+	logs.Info(en.logger, "stopped", "after", elapsed())
 }
 
 // Kill ends the entry at once, as a lost process would.
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -129,7 +129,7 @@
 
 func (wr *Writer) put(out io.Writer, line []byte) {
 	if count := wr.dropped.Swap(0); count > 0 {
-		fmt.Fprintf(out, "level=warn msg=\"lines dropped\" count=%d\n", count) //nolint:errcheck // there is nowhere else to say it
+		fmt.Fprintf(out, "level=warn msg=\"lines dropped\" count=%d\n", count) // there is nowhere else to say it
 	}
 	_, _ = out.Write(line) // there is nowhere else to say it
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -94,7 +94,7 @@
 	})
 	slices.Sort(lines)
 	for _, li := range lines {
-		fmt.Fprintln(out, li) //nolint:errcheck // a reader that went away is not ours to mend
+		fmt.Fprintln(out, li) // a reader that went away is not ours to mend
 	}
 }
 
--- a/order/guard.go
+++ b/order/guard.go
@@ -10,11 +10,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
 	"bilberryshelf/conf"
 	"bilberryshelf/core"
 	"bilberryshelf/fleet"
+	"bilberryshelf/logs"
 	"bilberryshelf/meter"
 	"bilberryshelf/place"
 	"bilberryshelf/table"
@@ -149,18 +149,18 @@
 	for _, ro := range rows {
 		co, err := gu.Config(ro)
 		if err != nil {
-			level.Error(gu.Logger).Log("msg", "configuration not readable", "err", err) //nolint:errcheck
+			logs.Error(gu.Logger, "configuration not readable", "err", err)
 			continue
 		}
 		gu.config = conf.Newer(gu.config, co)
 		model, version, ok, err := gu.Version(ro)
 		if err != nil {
-			level.Error(gu.Logger).Log("msg", "named version not readable", "err", err) //nolint:errcheck
+			logs.Error(gu.Logger, "named version not readable", "err", err)
 			continue
 		}
 		if ok && version > gu.named[model] {
 			gu.named[model] = version
-			level.Info(gu.Logger).Log("msg", "version named", "model", model, "version", version, "row", ro.Version) //nolint:errcheck
+			logs.Info(gu.Logger, "version named", "model", model, "version", version, "row", ro.Version)
 		}
 	}
 }
@@ -185,7 +185,7 @@
 	for _, ro := range rows {
 		re, err := DecodeRow(ro)
 		if err != nil {
-			level.Error(gu.Logger).Log("msg", "row of a guard not readable", "key", ro.ID.Key, "err", err) //nolint:errcheck
+			logs.Error(gu.Logger, "row of a guard not readable", "key", ro.ID.Key, "err", err)
 			continue
 		}
 		if IsSlot(ro) {
@@ -242,21 +242,21 @@
 func (gu *Guard) claim(ctx context.Context, home string) bool {
 	raw, err := Row{Home: home}.Encode()
 	if err != nil {
-		level.Error(gu.Logger).Log("msg", "row not encoded", "err", err) //nolint:errcheck
+		logs.Error(gu.Logger, "row not encoded", "err", err)
 		return false
 	}
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	version, err := gu.Store.Commit(call, table.Tx{Puts: []table.Put{{ID: table.ID{Table: Table, Key: gu.Addr}, Value: raw}}})
 	if err != nil {
-		level.Warn(gu.Logger).Log("msg", "home not claimed", "home", home, "err", err) //nolint:errcheck
+		logs.Warn(gu.Logger, "home not claimed", "home", home, "err", err)
 		return false
 	}
 	if gu.fence == 0 {
 		gu.fence = version
 	}
 	gu.home = home
-	level.Info(gu.Logger).Log("msg", "home claimed", "home", home, "fence", gu.fence) //nolint:errcheck
+	logs.Info(gu.Logger, "home claimed", "home", home, "fence", gu.fence)
 	return true
 }
 
@@ -300,7 +300,7 @@
 	defer cancel()
 	reply, err := gu.Port.Order(call, or)
 	gu.Meters.Count("orders", string(reply), 1)
-	level.Info(gu.Logger).Log("msg", "order", "model", or.Model, "version", or.Version, "mode", or.Mode, "fence", or.Fence, //nolint:errcheck
+	logs.Info(gu.Logger, "order", "model", or.Model, "version", or.Version, "mode", or.Mode, "fence", or.Fence,
 		"accepted", or.Accepted, "loaded", si.Report.Versions[or.Model], "running", si.Report.Running, "slot", gu.held.key,
 		"reply", reply, "err", errors.UnwrapAll(err))
 }
@@ -308,7 +308,7 @@
 // told logs that the engine came to another version.
 func (gu *Guard) told(re Report) {
 	if version := re.Versions[gu.home]; version != gu.loaded {
-		level.Info(gu.Logger).Log("msg", "version loaded", "model", gu.home, "version", version, "before", gu.loaded, //nolint:errcheck
+		logs.Info(gu.Logger, "version loaded", "model", gu.home, "version", version, "before", gu.loaded,
 			"took", gu.Clock.Now().Sub(gu.ordered), "accepted", re.Accepted)
 		gu.loaded = version
 	}
@@ -317,13 +317,13 @@
 func (gu *Guard) lost(err error) {
 	if !gu.failing {
 		gu.failing = true
-		level.Warn(gu.Logger).Log("msg", "engine lost", "addr", gu.Addr, "err", err) //nolint:errcheck
+		logs.Warn(gu.Logger, "engine lost", "addr", gu.Addr, "err", err)
 	}
 }
 
 func (gu *Guard) regained(re Report) {
 	if gu.failing {
 		gu.failing = false
-		level.Info(gu.Logger).Log("msg", "engine regained", "addr", gu.Addr, "born", re.Born, "accepted", re.Accepted) //nolint:errcheck
+		logs.Info(gu.Logger, "engine regained", "addr", gu.Addr, "born", re.Born, "accepted", re.Accepted)
 	}
 }
--- a/order/part.go
+++ b/order/part.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/go-kit/log/level"
+	"bilberryshelf/logs"
 )
 
 // Part runs a guard until it is stopped.
@@ -29,7 +29,7 @@
 
 // Stop ends the guard. An order in progress goes on at the engine.
 func (pa *Part) Stop() {
-	level.Info(pa.guard.Logger).Log("msg", "stopping") //nolint:errcheck
+	logs.Info(pa.guard.Logger, "stopping")
 	pa.stop()
 }
 
--- a/order/slot.go
+++ b/order/slot.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/go-kit/log/level"
 
 	"bilberryshelf/core"
+	"bilberryshelf/logs"
 	"bilberryshelf/table"
 )
 
@@ -95,7 +95,7 @@
 		gu.held = held{}
 		return
 	}
-	level.Warn(gu.Logger).Log("msg", "slot not released", "slot", gu.held.key, "err", err) //nolint:errcheck
+	logs.Warn(gu.Logger, "slot not released", "slot", gu.held.key, "err", err)
 }
 
 func (gu *Guard) writeSlot(ctx context.Context, key, holder string, expect uint64) (uint64, error) {
--- a/runs/life.go
+++ b/runs/life.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"bilberryshelf/batch"
 	"bilberryshelf/conf"
+	"bilberryshelf/logs"
 )
 
 // The reasons for which an entry leaves a job.
@@ -33,7 +32,7 @@
 		}
 		jo := newJob(body, kn, route, listed)
 		ow.jobs[body.ID] = jo
-		level.Info(ow.Logger).Log("msg", "job started", "id", body.ID, "route", route.Name, "model", body.Model, "step", body.Step, //nolint:errcheck
+		logs.Info(ow.Logger, "job started", "id", body.ID, "route", route.Name, "model", body.Model, "step", body.Step,
 			"items", len(body.Items), "listed", len(listed), "oldest", body.Oldest, "epoch", kn.Head.Epoch, "age", kn.Head.Age(ow.Clock.Now()))
 		ow.recall(jo)
 	})
@@ -54,11 +53,11 @@
 		for _, from := range []string{jo.route.Name, jo.body.ID} {
 			stored, err := ow.Ledger.Partials(call, from, jo.body.Step, func(id string) bool { return wanted[id] })
 			if err != nil {
-				level.Warn(ow.Logger).Log("msg", "partial texts not read, items begin anew", "id", jo.body.ID, "from", from, "err", err) //nolint:errcheck
+				logs.Warn(ow.Logger, "partial texts not read, items begin anew", "id", jo.body.ID, "from", from, "err", err)
 			}
 			ow.Loop.Post(func() {
 				if used := jo.reuse(stored); used > 0 && !jo.gone {
-					level.Info(ow.Logger).Log("msg", "partial texts reused", "id", jo.body.ID, "from", from, "items", used) //nolint:errcheck
+					logs.Info(ow.Logger, "partial texts reused", "id", jo.body.ID, "from", from, "items", used)
 					ow.take(jo)
 				}
 			})
@@ -103,14 +102,14 @@
 	})
 	for _, jo := range left {
 		if _, err := ow.Ledger.SavePartials(ctx, jo.body.ID, jo.left); err != nil {
-			level.Warn(ow.Logger).Log("msg", "partial texts not saved", "id", jo.body.ID, "err", err) //nolint:errcheck
+			logs.Warn(ow.Logger, "partial texts not saved", "id", jo.body.ID, "err", err)
 		}
 		kn, _ := ow.Index.Get(jo.body.ID)
 		if kn.Version < jo.known.Version {
 			kn = jo.known
 		}
 		if _, err := ow.Ledger.Adopt(ctx, jo.body.ID, kn, ""); err != nil {
-			level.Warn(ow.Logger).Log("msg", "job not released", "id", jo.body.ID, "err", err) //nolint:errcheck
+			logs.Warn(ow.Logger, "job not released", "id", jo.body.ID, "err", err)
 		}
 	}
 }
@@ -132,7 +131,7 @@
 			partials = append(partials, pa)
 		}
 	}
-	level.Info(ow.Logger).Log("msg", "job left", "id", jo.body.ID, "why", why, "listed", jo.known.Head.Listed, //nolint:errcheck
+	logs.Info(ow.Logger, "job left", "id", jo.body.ID, "why", why, "listed", jo.known.Head.Listed,
 		"total", jo.known.Head.Total, "partials", len(partials), "age", jo.known.Head.Age(ow.Clock.Now()))
 	jo.left = partials
 	ow.place()
@@ -151,7 +150,7 @@
 			err = ow.Ledger.DropRows(ow.ctx, jo.unused)
 		}
 		if err != nil {
-			level.Warn(ow.Logger).Log("msg", "partial texts not saved", "id", jo.body.ID, "err", err) //nolint:errcheck
+			logs.Warn(ow.Logger, "partial texts not saved", "id", jo.body.ID, "err", err)
 		}
 	}()
 }
@@ -209,11 +208,11 @@
 	age := jo.known.Head.Age(now)
 	ow.Meters.Observe("item", jo.route.Name, age)
 	if state == batch.Completed {
-		level.Info(ow.Logger).Log("msg", "item completed", "job", jo.body.ID, "id", it.item.ID, "events", len(it.events), "hint", it.item.Hint, //nolint:errcheck
+		logs.Info(ow.Logger, "item completed", "job", jo.body.ID, "id", it.item.ID, "events", len(it.events), "hint", it.item.Hint,
 			"age", age, "due", jo.route.Due, "begun", it.begun, "runs", it.runs, "scored-for", now.Sub(it.wholeAt), "carried", it.carried)
 	}
 	if state == batch.Errored {
-		level.Warn(ow.Logger).Log("msg", "item errored", "job", jo.body.ID, "id", it.item.ID, "why", why, //nolint:errcheck
+		logs.Warn(ow.Logger, "item errored", "job", jo.body.ID, "id", it.item.ID, "why", why,
 			"failures", it.failures, "events", len(it.events), "age", age)
 		ow.Meters.Count("items-errored", jo.route.Name, 1)
 	}
--- a/runs/list.go
+++ b/runs/list.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/go-kit/log/level"
 
 	"bilberryshelf/batch"
+	"bilberryshelf/logs"
 	"bilberryshelf/table"
 )
 
@@ -81,13 +81,13 @@
 		jo.retryAt = ow.Clock.Now().Add(storePause)
 		if !jo.stalled {
 			jo.stalled = true
-			level.Warn(ow.Logger).Log("msg", "results wait for the store", "id", jo.body.ID, "results", len(jo.results), "err", err) //nolint:errcheck
+			logs.Warn(ow.Logger, "results wait for the store", "id", jo.body.ID, "results", len(jo.results), "err", err)
 		}
 		return
 	}
 	if jo.stalled {
 		jo.stalled = false
-		level.Info(ow.Logger).Log("msg", "results listed again", "id", jo.body.ID, "listed", jo.known.Head.Listed) //nolint:errcheck
+		logs.Info(ow.Logger, "results listed again", "id", jo.body.ID, "listed", jo.known.Head.Listed)
 	}
 }
 
@@ -143,7 +143,7 @@
 func (ow *Owner) saved(jo *job, partials []batch.Partial, items map[string]*item, lies map[string][]table.ID, err error) {
 	jo.saving = false
 	if err != nil {
-		level.Debug(ow.Logger).Log("msg", "partial texts not saved", "id", jo.body.ID, "err", err) //nolint:errcheck
+		logs.Debug(ow.Logger, "partial texts not saved", "id", jo.body.ID, "err", err)
 		return
 	}
 	for _, pa := range partials {
--- a/runs/step.go
+++ b/runs/step.go
@@ -6,9 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"bilberryshelf/batch"
+	"bilberryshelf/logs"
 	"bilberryshelf/place"
 )
 
@@ -120,7 +119,7 @@
 	ru.leaving, it.avoid = true, wi.Avoid
 	ru.cancel()
 	ow.Meters.Count("runs-moved", string(wi.Leaves), 1)
-	level.Info(ow.Logger).Log("msg", "run moved", "job", jo.body.ID, "id", it.item.ID, "engine", wi.Avoid, "why", wi.Leaves, //nolint:errcheck
+	logs.Info(ow.Logger, "run moved", "job", jo.body.ID, "id", it.item.ID, "engine", wi.Avoid, "why", wi.Leaves,
 		"silent", now.Sub(last), "pace", ru.engine.pace, "events", it.made())
 }
 
@@ -139,7 +138,7 @@
 	en.runs[ru] = true
 	en.groups[it.item.Group]++
 	se := Send{Job: jo.body, Item: it.item, After: len(it.events)}
-	level.Info(ow.Logger).Log("msg", "run begun", "job", jo.body.ID, "id", it.item.ID, "engine", en.target.ID, "after", se.After, //nolint:errcheck
+	logs.Info(ow.Logger, "run begun", "job", jo.body.ID, "id", it.item.ID, "engine", en.target.ID, "after", se.After,
 		"version", en.version(jo.body.Model), "running", en.running, "pace", en.pace)
 	ow.Meters.Count("runs-begun", jo.route.Name, 1)
 	go func() {
@@ -161,7 +160,7 @@
 	for _, at := range place.Empty(views, jo.body.Model, jo.body.Oldest, named) {
 		en := ow.engines[views[at].ID]
 		en.emptied = now
-		level.Info(ow.Logger).Log("msg", "engine emptied for a load", "engine", en.target.ID, "job", jo.body.ID, //nolint:errcheck
+		logs.Info(ow.Logger, "engine emptied for a load", "engine", en.target.ID, "job", jo.body.ID,
 			"runs", en.running, "loaded", en.version(jo.body.Model), "named", named)
 	}
 }
@@ -219,7 +218,7 @@
 		en.rest(now)
 	}
 	ow.Meters.Count("runs-failed", string(out.Ending), 1)
-	level.Info(ow.Logger).Log("msg", "run ended early", "job", ru.job.body.ID, "id", ru.item.item.ID, "engine", en.target.ID, //nolint:errcheck
+	logs.Info(ow.Logger, "run ended early", "job", ru.job.body.ID, "id", ru.item.item.ID, "engine", en.target.ID,
 		"ending", out.Ending, "events", events, "text", out.Text, "took", now.Sub(ru.began))
 }
 
@@ -260,7 +259,7 @@
 		ow.finish(jo, it, batch.Errored, "", err.Error())
 		return
 	}
-	level.Info(ow.Logger).Log("msg", "score not given, trying again", "job", jo.body.ID, "id", it.item.ID, "err", err) //nolint:errcheck
+	logs.Info(ow.Logger, "score not given, trying again", "job", jo.body.ID, "id", it.item.ID, "err", err)
 	ow.later(storePause, func() {
 		if !jo.gone && it.state == scoring {
 			ow.score(jo, it)
--- a/sample/replay_test.go
+++ b/sample/replay_test.go
@@ -71,7 +71,7 @@
 	tr := trace{fails: map[string]bool{}}
 	file, err := os.Open("testdata/trace.csv")
 	require.NoError(t, err)
-	defer file.Close() //nolint:errcheck // a file that was read
+	defer file.Close() // a file that was read
 	rows, err := csv.NewReader(file).ReadAll()
 	require.NoError(t, err)
 	for _, row := range rows[1:] {
--- a/soak/mutant_test.go
+++ b/soak/mutant_test.go
@@ -35,8 +35,9 @@
 	{"a request that may run once runs once", []edit{{"calls/calls.go", "if (doubt && !repeatable(at.re.Route)) ||", "if (doubt && false) ||"}}},
 	{"a job goes on without its owner", []edit{{"intake/adopt.go", "if !en.members.Dead(now, he.Owner) {", "if he.Owner != \"\" {"}}},
 	{"fences rise", []edit{{"order/guard.go", "gu.fence = version", "gu.fence = 1 << 40 / version"}}},
-	{"no text of older weights", []edit{{"place/place.go", "en.free() > 0 && en.Version >= it.Oldest", "en.free() > 0"}, {"runs/job.go", "if ev.Version < oldest {", "if ev.Version == 0 {"}}},
+	{"no text of older weights", []edit{{"place/scene.go", "en.open() && en.Version >= it.Oldest", "en.open()"}, {"runs/job.go", "if ev.Version < oldest {", "if ev.Version == 0 {"}}},
 	{"a stream that breaks never looks whole", []edit{{"platform/stream.go", "panic(http.ErrAbortHandler)", "return"}}},
+	{"a request that crashes targets costs a few", []edit{{"calls/calls.go", "at.share(leastShare) || at.condemned() != nil {", "at.share(leastShare) {"}}},
 	{"a request gets its own answer", []edit{{"platform/target.go", "echo != re.ID || res.Header.Get(headerStamp) == \"\"", "false"}}},
 }
 
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -88,8 +88,8 @@
 }
 
 func (pr *proxy) copy(to, from net.Conn, back bool) {
-	defer to.Close()   //nolint:errcheck // the link ends
-	defer from.Close() //nolint:errcheck // the link ends
+	defer to.Close()   // the link ends
+	defer from.Close() // the link ends
 	buffer := make([]byte, 32<<10)
 	for {
 		count, err := from.Read(buffer)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -39,6 +39,8 @@
 }
 
 func TestMain(m *testing.M) {
+	flag.IntVar(&entries, "soak-entries", 3, "how many entries a world has")
+	flag.IntVar(&engines, "soak-engines", 3, "how many engines a world has, each with a guard")
 	flag.Parse()
 	dir, err := os.MkdirTemp("", "soak-bin")
 	if err != nil {
@@ -96,11 +98,57 @@
 	if tr.count() < healed+2 {
 		wo.broken("no two steps were whole within 25 s after the last fault")
 	}
+	wo.crash()
 	wo.audit(tr)
 	t.Logf("faults: %s; steps: %d, requests: %d, answered: %v", strings.Join(in.done, ", "), tr.count(), wo.begun(), wo.served)
 	return wo.found()
 }
 
+// crash sends a request that crashes whatever runs it, under a new id each time,
+// to all entries in turn. Once it has cost three targets and the entries had time
+// to tell each other, it reaches none.
+func (wo *world) crash() {
+	cl := client()
+	sent := 0
+	send := func() {
+		id := fmt.Sprintf("crash%d", sent)
+		req, err := http.NewRequest(http.MethodPost, "http://"+wo.fronts[sent%entries]+"/once/x", strings.NewReader(stand.Crash))
+		if err != nil {
+			wo.broken("build a request: %v", err)
+			return
+		}
+		sent++
+		req.Host = "h"
+		req.Header.Set("Bilberryshelf-Request-Id", id)
+		req.Header.Set("Bilberryshelf-Deadline-Ms", "1500")
+		res, err := cl.Do(req)
+		if err == nil {
+			_ = res.Body.Close() // nothing in it is wanted
+		}
+	}
+	const enough, tell = 3, 4 * time.Second
+	for sent < 4*enough {
+		send()
+	}
+	time.Sleep(tell)
+	before := wo.crashes(sent)
+	for range 2 * entries {
+		send()
+	}
+	if after := wo.crashes(sent); before < enough || after > before {
+		wo.broken("a request that crashes targets reached %d of them, and %d later", before, after-before)
+	}
+}
+
+// crashes counts the targets that the crashing request reached.
+func (wo *world) crashes(sent int) int {
+	sum := 0
+	for at := range sent {
+		sum += wo.ran(fmt.Sprintf("crash%d", at))
+	}
+	return sum
+}
+
 // audit checks what can only be told at the end.
 func (wo *world) audit(tr *trainer) {
 	for _, kind := range kinds {
@@ -166,7 +214,7 @@
 }
 
 func (wo *world) judge(id, kind string, res *http.Response) {
-	defer res.Body.Close() //nolint:errcheck // a failed close of a read body loses nothing
+	defer res.Body.Close() // a failed close of a read body loses nothing
 	body, err := io.ReadAll(res.Body)
 	switch {
 	case err != nil:
--- a/soak/trainer_test.go
+++ b/soak/trainer_test.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return -1
 	}
-	defer res.Body.Close() //nolint:errcheck // a failed close of a read body loses nothing
+	defer res.Body.Close() // a failed close of a read body loses nothing
 	if res.StatusCode == http.StatusNotFound {
 		tr.world.broken("%s knows no job %s", front, job)
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -25,11 +25,13 @@
 	"bilberryshelf/table"
 )
 
+// entries and engines are the sizes of the world; each engine has a guard.
+var entries, engines int
+
 const (
-	entries = 3
-	engines = 3
-	desks   = 2
-	grace   = 6 * time.Second
+	// desks is the number of plain targets.
+	desks = 2
+	grace = 6 * time.Second
 )
 
 // process is one of the real programs, started anew after each end.
@@ -102,7 +104,7 @@
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	se := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
-	go se.Serve(li)                      //nolint:errcheck // it ends with the test
+	go se.Serve(li)                      // it ends with the test
 	t.Cleanup(func() { _ = se.Close() }) // what is still open ends with it
 	return li.Addr().String()
 }
@@ -113,7 +115,8 @@
 	// choice and its use.
 	firstPort = 10000
 	lastPort  = 32000
-	// portsEach is the room of one run; runs beside each other begin apart.
+	// portsEach is the room of a run of the usual size; runs beside each other begin
+	// apart.
 	portsEach = 64
 )
 
@@ -121,7 +124,7 @@
 func freeAddrs(t *testing.T, count int) []string {
 	t.Helper()
 	var addrs []string
-	port := firstPort + os.Getpid()*portsEach%(lastPort-firstPort)
+	port := firstPort + os.Getpid()*max(portsEach, count)%(lastPort-firstPort)
 	for ; len(addrs) < count; port++ {
 		addr := fmt.Sprintf("127.0.0.1:%d", port)
 		li, err := net.Listen("tcp", addr)
--- a/store/list.go
+++ b/store/list.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "list of instances")
 	}
-	defer res.Body.Close() //nolint:errcheck // a failed close of a read body loses nothing
+	defer res.Body.Close() // a failed close of a read body loses nothing
 	if res.StatusCode == http.StatusNotModified {
 		return li.last, nil
 	}
--- a/store/object.go
+++ b/store/object.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "read object %s", key)
 	}
-	defer out.Body.Close() //nolint:errcheck // a failed close of a read body loses nothing
+	defer out.Body.Close() // a failed close of a read body loses nothing
 	body, err := io.ReadAll(out.Body)
 	return body, errors.Wrapf(err, "read object %s", key)
 }
--- a/subcmd/demo.go
+++ b/subcmd/demo.go
@@ -83,7 +83,7 @@
 }
 
 func (de *demoCommand) say(format string, args ...any) {
-	fmt.Fprintf(de.out, format+"\n", args...) //nolint:errcheck // output
+	fmt.Fprintf(de.out, format+"\n", args...)
 }
 
 func (de *demoCommand) show(ctx context.Context, no *trial.Node, service *fake.Service) error {
--- a/subcmd/explain.go
+++ b/subcmd/explain.go
@@ -36,10 +36,10 @@
 	}
 	slices.SortStableFunc(lines, func(lhs, rhs string) int { return strings.Compare(stamp(lhs), stamp(rhs)) })
 	for _, li := range lines {
-		fmt.Fprintln(co.out, li) //nolint:errcheck // a reader that went away is not ours to mend
+		fmt.Fprintln(co.out, li) // a reader that went away is not ours to mend
 	}
 	if without > 0 {
-		fmt.Fprintf(co.out, "%d lines without a time were left out\n", without) //nolint:errcheck // as above
+		fmt.Fprintf(co.out, "%d lines without a time were left out\n", without) // as above
 	}
 	if len(lines) == 0 {
 		return exit(ExitFailed, errors.Newf("no line bears %s", co.Args.ID))
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "read the logs")
 	}
-	defer fi.Close() //nolint:errcheck // a failed close of a read file loses nothing
+	defer fi.Close() // a failed close of a read file loses nothing
 	sc := bufio.NewScanner(fi)
 	sc.Buffer(nil, maxLine)
 	for sc.Scan() {
--- a/subcmd/node.go
+++ b/subcmd/node.go
@@ -31,26 +31,26 @@
 	lg = level.NewFilter(lg, level.Allow(level.ParseDefault(no.LogLevel, level.InfoValue())))
 	se, err := read(no.Settings)
 	if err != nil {
-		level.Error(lg).Log("msg", "settings refused", "file", no.Settings, "err", err) //nolint:errcheck
+		logs.Error(lg, "settings refused", "file", no.Settings, "err", err)
 		return exit(ExitUsage, err)
 	}
 	lg = log.With(lg, "node", se.Name)
-	level.Info(lg).Log("msg", "starting", "domain", se.Place.FailureDomain, "memory", int64(se.Instance.Memory), "cores", se.Instance.Cores) //nolint:errcheck
+	logs.Info(lg, "starting", "domain", se.Place.FailureDomain, "memory", int64(se.Instance.Memory), "cores", se.Instance.Cores)
 	hups := make(chan os.Signal, 1)
 	signal.Notify(hups, syscall.SIGHUP)
 	go func() {
 		for range hups {
 			changed, err := read(no.Settings)
-			level.Info(lg).Log("msg", "settings read again", "changed", changed != se, "err", err) //nolint:errcheck
+			logs.Info(lg, "settings read again", "changed", changed != se, "err", err)
 		}
 	}()
 	da, err := build(se, lg, me)
 	if err != nil {
-		level.Error(lg).Log("msg", "not started", "err", err) //nolint:errcheck
+		logs.Error(lg, "not started", "err", err)
 		return err
 	}
 	err = group(da)
-	level.Info(lg).Log("msg", "ended", "err", err) //nolint:errcheck
+	logs.Info(lg, "ended", "err", err)
 	return err
 }
 
--- a/subcmd/operator.go
+++ b/subcmd/operator.go
@@ -83,21 +83,21 @@
 
 func (ap *applyCommand) print(result applyResult) error {
 	for _, fa := range result.Faults {
-		fmt.Fprintf(ap.out, "%s: %s\n", ap.Args.Sheet, fa) //nolint:errcheck // output
+		fmt.Fprintf(ap.out, "%s: %s\n", ap.Args.Sheet, fa)
 	}
 	if len(result.Faults) > 0 {
 		return exit(ExitRefused, errors.Newf("the sheet is refused whole: %d faults", len(result.Faults)))
 	}
 	for _, ch := range result.Changes {
-		fmt.Fprintln(ap.out, ch) //nolint:errcheck // output
+		fmt.Fprintln(ap.out, ch)
 	}
 	switch {
 	case ap.DryRun:
-		fmt.Fprintf(ap.out, "%d changes against generation %d; nothing was changed\n", len(result.Changes), result.Generation) //nolint:errcheck // output
+		fmt.Fprintf(ap.out, "%d changes against generation %d; nothing was changed\n", len(result.Changes), result.Generation)
 	case result.Unchanged:
-		fmt.Fprintf(ap.out, "unchanged, generation %d\n", result.Generation) //nolint:errcheck // output
+		fmt.Fprintf(ap.out, "unchanged, generation %d\n", result.Generation)
 	default:
-		fmt.Fprintf(ap.out, "accepted as generation %d, operation %s\n", result.Generation, result.Operation) //nolint:errcheck // output
+		fmt.Fprintf(ap.out, "accepted as generation %d, operation %s\n", result.Generation, result.Operation)
 	}
 	return nil
 }
@@ -123,7 +123,7 @@
 	if err != nil {
 		return errors.Wrap(err, "print")
 	}
-	fmt.Fprintln(out, string(raw)) //nolint:errcheck // output
+	fmt.Fprintln(out, string(raw))
 	return nil
 }
 
@@ -161,7 +161,7 @@
 	if err := re.call(http.MethodPost, path, nil, &result); err != nil {
 		return unsettled(err, operation)
 	}
-	fmt.Fprintf(re.out, "accepted as generation %d, operation %s\n", result.Generation, result.Operation) //nolint:errcheck // output
+	fmt.Fprintf(re.out, "accepted as generation %d, operation %s\n", result.Generation, result.Operation)
 	return nil
 }
 
@@ -187,7 +187,7 @@
 	if err := we.call(http.MethodPost, "/v1/weights", raw, &result); err != nil {
 		return err
 	}
-	fmt.Fprintf(we.out, "version %d of %s announced, generation %d\n", we.Args.Version, we.Args.Service, result.Generation) //nolint:errcheck // output
+	fmt.Fprintf(we.out, "version %d of %s announced, generation %d\n", we.Args.Version, we.Args.Service, result.Generation)
 	return nil
 }
 
@@ -209,7 +209,7 @@
 	if done.State != "accepted" {
 		return exit(ExitRefused, errors.Newf("operation %s was not accepted and never will be", done.Operation))
 	}
-	fmt.Fprintf(se.out, "operation %s was accepted as generation %d\n", done.Operation, done.Generation) //nolint:errcheck // output
+	fmt.Fprintf(se.out, "operation %s was accepted as generation %d\n", done.Operation, done.Generation)
 	return nil
 }
 
@@ -232,7 +232,7 @@
 	if err != nil {
 		return exit(ExitUsage, err)
 	}
-	fmt.Fprintf(ch.out, "%s is whole\n", ch.Args.File) //nolint:errcheck // output
+	fmt.Fprintf(ch.out, "%s is whole\n", ch.Args.File)
 	return nil
 }
 
@@ -246,6 +246,6 @@
 	if !ok {
 		return errors.New("the program carries no build information")
 	}
-	fmt.Fprintf(ve.out, "bilberryshelf %s %s\n", info.Main.Version, info.GoVersion) //nolint:errcheck // output
+	fmt.Fprintf(ve.out, "bilberryshelf %s %s\n", info.Main.Version, info.GoVersion)
 	return nil
 }
--- a/subcmd/subcmd.go
+++ b/subcmd/subcmd.go
@@ -141,7 +141,7 @@
 	parser.LongDescription = "A rollout service for reinforcement learning on targets that are lent."
 	for _, co := range commands {
 		if _, err := parser.AddCommand(co.name, co.title, co.text+"\n\nExample: "+co.example, co.data(out)); err != nil {
-			fmt.Fprintln(errs, err) //nolint:errcheck // there is nowhere else to say it
+			fmt.Fprintln(errs, err) // there is nowhere else to say it
 			return ExitUsage
 		}
 	}
@@ -159,13 +159,13 @@
 	case err == nil:
 		return ExitOK
 	case errors.As(err, &help) && help.Type == flags.ErrHelp:
-		fmt.Fprintln(out, help.Message) //nolint:errcheck // help that nobody reads
+		fmt.Fprintln(out, help.Message) // help that nobody reads
 		return ExitOK
 	case errors.As(err, &help):
-		fmt.Fprintln(errs, help.Message) //nolint:errcheck // there is nowhere else to say it
+		fmt.Fprintln(errs, help.Message) // there is nowhere else to say it
 		return ExitUsage
 	}
-	fmt.Fprintln(errs, strings.TrimSpace(err.Error())) //nolint:errcheck // there is nowhere else to say it
+	fmt.Fprintln(errs, strings.TrimSpace(err.Error())) // there is nowhere else to say it
 	switch {
 	case errors.As(err, &ex):
 		return ex.code
--- a/table/feed.go
+++ b/table/feed.go
@@ -6,9 +6,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
 	"bilberryshelf/core"
+	"bilberryshelf/logs"
 )
 
 // Feed follows one table of the store and hands its rows on.
@@ -69,7 +69,7 @@
 			fe.back()
 		case errors.Is(err, ErrCompacted): // rule 2
 			fe.listed = false
-			level.Debug(fe.Logger).Log("msg", "history dropped, listing again", "table", fe.Table, "version", fe.version) //nolint:errcheck
+			logs.Debug(fe.Logger, "history dropped, listing again", "table", fe.Table, "version", fe.version)
 		default:
 			fe.lose(err)
 			sleep(ctx, fe.Clock, lostPause)
@@ -131,7 +131,7 @@
 		return
 	}
 	fe.lost = true
-	level.Warn(fe.Logger).Log("msg", "store lost", "table", fe.Table, "version", fe.version, "err", err) //nolint:errcheck
+	logs.Warn(fe.Logger, "store lost", "table", fe.Table, "version", fe.version, "err", err)
 	if fe.Lost != nil {
 		fe.Lost()
 	}
@@ -142,7 +142,7 @@
 		return
 	}
 	fe.lost = false
-	level.Info(fe.Logger).Log("msg", "store regained", "table", fe.Table, "version", fe.version) //nolint:errcheck
+	logs.Info(fe.Logger, "store regained", "table", fe.Table, "version", fe.version)
 	if fe.Back != nil {
 		fe.Back()
 	}
--- a/trial/client.go
+++ b/trial/client.go
@@ -138,7 +138,7 @@
 	if err != nil {
 		return Answer{Err: err}
 	}
-	defer res.Body.Close() //nolint:errcheck // read below
+	defer res.Body.Close() // read below
 	raw, err := io.ReadAll(res.Body)
 	return Answer{
 		Status: res.StatusCode, Header: res.Header, Body: string(raw), Err: err,
--- a/trial/world.go
+++ b/trial/world.go
@@ -79,7 +79,7 @@
 	if err := se.Listen(addr); err != nil {
 		return nil, err
 	}
-	go se.Run() //nolint:errcheck // ends with the world
+	go se.Run() // ends with the world
 	return se, nil
 }
 
@@ -180,9 +180,9 @@
 
 func start(da boot.Daemon) *Node {
 	for _, se := range da.Servers {
-		go se.Run() //nolint:errcheck // ends with the world
+		go se.Run() // ends with the world
 	}
-	go da.Part.Run() //nolint:errcheck // ends with the world
+	go da.Part.Run() // ends with the world
 	return &Node{Daemon: da}
 }
 
--- a/via/via.go
+++ b/via/via.go
@@ -22,9 +22,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
 	"bilberryshelf/core"
+	"bilberryshelf/logs"
 	"bilberryshelf/table"
 )
 
@@ -169,7 +169,7 @@
 	defer st.mutex.Unlock()
 	if settled(err) {
 		if st.closed {
-			level.Info(st.Logger).Log("msg", "direct way to the store open") //nolint:errcheck
+			logs.Info(st.Logger, "direct way to the store open")
 		}
 		st.strikes, st.closed = 0, false
 		return
@@ -177,7 +177,7 @@
 	st.strikes++
 	if st.strikes >= Strikes && !st.closed {
 		st.closed, st.probed = true, st.Clock.Now()
-		level.Warn(st.Logger).Log("msg", "direct way to the store closed", "strikes", st.strikes, "err", err) //nolint:errcheck
+		logs.Warn(st.Logger, "direct way to the store closed", "strikes", st.strikes, "err", err)
 	}
 }
 
