via, intake: what needs the store is refused at once while nobody reaches it

Now such a call is refused at once, not run, with the time to come back, once no way has got an answer for 1.5 s; calls of the feeds and the entry's own row find the return. Ruled out: judging by one feed's age (a dropped history makes it old while the store serves), and by the direct way alone (a peer may reach it). TestAway, TestSilentStore (fails before: held for up to 1.5 s each).

--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -152,6 +152,40 @@
 	})
 }
 
+// The load pattern: trainers submit and read while the store is silent for
+// seconds. Nobody is held by a call that can't be answered, and the first call
+// after the outage is served.
+func TestSilentStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo := newWorld(t, 2)
+		defer wo.stop()
+		jo := job("j1", 12)
+		require.Nil(t, wo.submit(0, jo))
+		time.Sleep(300 * time.Millisecond)
+		wo.rows.Set(fake.RowFaults{Silent: true})
+		time.Sleep(4 * time.Second)
+		ctx := context.Background()
+		for node, en := range wo.entries {
+			began := time.Now()
+			_, results := en.Results(ctx, "j1", 0, time.Second)
+			_, body := en.Body(ctx, "j1", "j1-i0")
+			for _, err := range []*core.Error{wo.submit(node, job("j2", 1)), results, body, en.End(ctx, "j1")} {
+				require.NotNil(t, err)
+				require.Equal(t, core.CodePlatformDown, err.Code)
+				require.Equal(t, core.NotRun, err.Verdict)
+				require.Positive(t, err.RetryAfter)
+			}
+			require.Zero(t, time.Since(began), "it is known that they can't be served")
+		}
+		wo.rows.Set(fake.RowFaults{})
+		time.Sleep(2 * time.Second)
+		require.Nil(t, wo.submit(1, job("j3", 1)))
+		time.Sleep(2 * time.Second)
+		wo.whole(1, jo)
+		require.Zero(t, wo.engines.runs["j2-i0"], "it was refused")
+	})
+}
+
 // A submission whose answer is lost is no refusal: the job may be kept.
 func TestSubmissionInDoubt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -57,6 +57,9 @@
 	if en.leaving.Load() {
 		return core.Refuse(core.CodeDraining, "this entry is stopping").WithRetryAfter(lookEvery)
 	}
+	if failed := en.reachable(); failed != nil {
+		return failed
+	}
 	home := en.home(route.Name)
 	he := batch.Head{
 		Epoch: 1, Owner: home.Name, Total: len(jo.Items), Submitted: en.clock.Now().UnixMilli(), Route: route.Name,
@@ -79,6 +82,14 @@
 	}
 }
 
+// reachable refuses at once what needs the store, while nobody reaches it.
+func (en *Entry) reachable() *core.Error {
+	if !en.store.Away() {
+		return nil
+	}
+	return core.Refuse(core.CodePlatformDown, "the store has not answered for a while").WithRetryAfter(storeAway)
+}
+
 // find returns a job's head, read from the store unless the feed has it.
 func (en *Entry) find(ctx context.Context, job string, fresh bool) (batch.Known, *core.Error) {
 	if kn, known := en.index.Get(job); known && !fresh {
@@ -98,6 +109,9 @@
 // Results lists results from a position on. It waits for one for the given
 // span, if there is none.
 func (en *Entry) Results(ctx context.Context, job string, from int, wait time.Duration) (batch.Listing, *core.Error) {
+	if failed := en.reachable(); failed != nil {
+		return batch.Listing{}, failed
+	}
 	limit := en.clock.After(wait)
 	for {
 		changed := en.index.Changed()
@@ -151,6 +165,9 @@
 
 // Body returns the body of an item.
 func (en *Entry) Body(ctx context.Context, job, item string) ([]byte, *core.Error) {
+	if failed := en.reachable(); failed != nil {
+		return nil, failed
+	}
 	if _, failed := en.find(ctx, job, false); failed != nil {
 		return nil, failed
 	}
@@ -168,6 +185,9 @@
 
 // End ends a job. Ending it again changes nothing.
 func (en *Entry) End(ctx context.Context, job string) *core.Error {
+	if failed := en.reachable(); failed != nil {
+		return failed
+	}
 	for range endTries {
 		kn, failed := en.find(ctx, job, true)
 		if failed != nil {
--- a/via/via.go
+++ b/via/via.go
@@ -13,6 +13,8 @@
 //  4. A closed way watches nothing: the watcher is told to list again, at the
 //     pace of ListEvery.
 //  5. A call that a peer passes on is never passed on again.
+//  6. The store is away when the direct way is closed and nobody has got an answer
+//     of it for AwayAfter. Callers need not wait for a call to find out.
 package via
 
 import (
@@ -36,6 +38,9 @@
 	// ListEvery is the pause between lists through a peer: several of them fit
 	// the bound on how soon a configuration must be in force.
 	ListEvery = 400 * time.Millisecond
+	// AwayAfter is how long no answer may come while a direct way is closed: a call
+	// of each kind is tried within it.
+	AwayAfter = 1500 * time.Millisecond
 	// directShare is the part of a call's time that the direct way may take.
 	directShare = 0.5
 	// mostPeers bounds the peers that one call is tried with.
@@ -61,6 +66,8 @@
 	closed  bool
 	probed  time.Time
 	good    string
+	// answered is when the store last answered, by any way.
+	answered time.Time
 }
 
 // Commit writes a transaction.
@@ -168,6 +175,7 @@
 	st.mutex.Lock()
 	defer st.mutex.Unlock()
 	if settled(err) {
+		st.answered = st.Clock.Now()
 		if st.closed {
 			logs.Info(st.Logger, "direct way to the store open")
 		}
@@ -198,5 +206,12 @@
 func (st *Store) remember(name string) {
 	st.mutex.Lock()
 	defer st.mutex.Unlock()
-	st.good = name
+	st.good, st.answered = name, st.Clock.Now()
+}
+
+// Away tells whether the store answers nobody at present (rule 6).
+func (st *Store) Away() bool {
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	return st.closed && st.Clock.Now().Sub(st.answered) > AwayAfter
 }
--- a/via/via_test.go
+++ b/via/via_test.go
@@ -130,6 +130,38 @@
 	})
 }
 
+// The store is away only when nobody reaches it: not while a peer does, not for
+// a single failure, and no longer once a call is answered.
+func TestAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		direct, peer := &cut{Rows: &fake.Rows{}, silent: true}, &cut{Rows: &fake.Rows{}}
+		st := &via.Store{
+			Direct: direct, Clock: core.SystemClock{}, Logger: log.NewNopLogger(),
+			Peers: func() []via.Peer { return []via.Peer{{Name: "p", Store: peer}} },
+		}
+		commit := func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, _ = st.Commit(ctx, tx) // only what is believed of the store counts
+		}
+		commit()
+		require.False(t, st.Away(), "one failure")
+		commit()
+		commit()
+		time.Sleep(time.Second)
+		commit()
+		require.False(t, st.Away(), "a peer reaches it")
+		peer.silent = true
+		commit()
+		require.False(t, st.Away(), "it answered a moment ago")
+		time.Sleep(via.AwayAfter)
+		require.True(t, st.Away())
+		peer.silent = false
+		commit()
+		require.False(t, st.Away())
+	})
+}
+
 // The outcomes that callers decide on survive the way through a peer.
 func TestPeer(t *testing.T) {
 	rows := &fake.Rows{}
