poison: a loss counts once its target is found dead

Now a loss waits until its target is found dead (it refuses a connection, or the registry drops it, within 8 s) and is forgotten when the target answers again.

--- a/calls/board.go
+++ b/calls/board.go
@@ -54,8 +54,9 @@
 	scores   map[string]*score
 }
 
-// Update takes the targets as they are known now.
-func (bo *Board) Update(all []fleet.Target) {
+// Update takes the targets as they are known now, and returns the ids of those
+// that are gone.
+func (bo *Board) Update(all []fleet.Target) (gone []string) {
 	services, scores := map[string][]fleet.Target{}, map[string]*score{}
 	bo.mutex.Lock()
 	defer bo.mutex.Unlock()
@@ -69,7 +70,13 @@
 			services[ta.Service] = append(services[ta.Service], ta)
 		}
 	}
+	for id := range bo.scores {
+		if scores[id] == nil {
+			gone = append(gone, id)
+		}
+	}
 	bo.services, bo.scores = services, scores
+	return gone
 }
 
 // choose draws a target (rule 1).
--- a/calls/calls.go
+++ b/calls/calls.go
@@ -23,8 +23,8 @@
 //     whole event when its target breaks off or is silent for streamStall; what
 //     the caller sees is one answer with the headers of the first target.
 //  8. A stream that can't go on is broken off, so that it never looks whole.
-//  9. A request that made poison.MostLosses targets break off, at any entry, is
-//     sent to no further one. What comes again with its content is refused at once.
+//  9. A request that crashed poison.MostDeaths targets, at any entry, is sent to no
+//     further one. What comes again with its content is refused at once.
 package calls
 
 import (
@@ -101,8 +101,8 @@
 	Meters   *meter.Set
 	Draw     func(below int) int
 	Board    *Board
-	// Losses counts the targets that requests cost; Tell, if set, is told of each
-	// loss that is seen here and must not block.
+	// Losses counts the targets that requests crashed; Tell, if set, is told of each
+	// death that is seen here and must not block.
 	Losses poison.Tally
 	Tell   func(lo poison.Loss)
 }
@@ -246,7 +246,7 @@
 		ou := outcome{target: ta, answer: answer, err: core.AsError(err), took: ca.Clock.Now().Sub(began)}
 		dropped := ctx.Err() != nil
 		ca.Board.end(ca.Clock.Now(), ta.ID, ou, dropped)
-		at.lost(ou, dropped)
+		at.judge(ou, dropped)
 		at.results <- ou
 	}()
 	return true
--- a/calls/stream.go
+++ b/calls/stream.go
@@ -151,7 +151,7 @@
 	ou := outcome{target: ta, err: core.AsError(err), took: first}
 	dropped := gone(ou.err) || (ctx.Err() != nil && !stalled.Load())
 	ca.Board.end(ca.Clock.Now(), ta.ID, ou, dropped)
-	st.lost(ou, dropped || stalled.Load())
+	st.judge(ou, dropped || stalled.Load())
 	return err
 }
 
--- a/intake/follow.go
+++ b/intake/follow.go
@@ -149,7 +149,7 @@
 	for at := range all {
 		all[at].Distance = place.Distance(all[at].Domain)
 	}
-	en.board.Update(all)
+	en.caller.Update(all)
 	en.owner.Update(all)
 }
 
