--- a/place/place_test.go
+++ b/place/place_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -166,3 +167,23 @@
 	}
 	require.Empty(t, place.Empty(full, "m", 1, 2), "the others have no room")
 }
+
+// The longest item goes to the least loaded engine; an engine that is emptied for
+// a load takes none.
+func ExampleScene_Choose() {
+	scene := place.NewScene([]place.Engine{
+		{ID: "a", Slots: 2, Running: 1, Load: 4, Version: 7},
+		{ID: "b", Slots: 2, Version: 7, Emptying: true},
+		{ID: "c", Slots: 2, Load: 1, Version: 7},
+	})
+	queue := []place.Item{{Index: 0, Size: 100, Load: 1}, {Index: 1, Size: 9000, Load: 5}}
+	place.Order(queue)
+	for _, it := range queue {
+		at := scene.Choose(it)
+		scene.Take(at, it)
+		fmt.Println(it.Index, scene.Engine(at).ID)
+	}
+	// Output:
+	// 1 c
+	// 0 a
+}
--- a/place/replay_test.go
+++ b/place/replay_test.go
@@ -221,12 +221,17 @@
 }
 
 // mean is the mean time of a step over many seeds.
-func mean(re replay, count int) time.Duration {
+func mean(re replay, count int) time.Duration { return over(re, count, replay.run) }
+
+// longest is the mean time of the longest item over many seeds.
+func longest(re replay, count int) time.Duration { return over(re, count, replay.longest) }
+
+func over(re replay, count int, run func(replay, uint64) time.Duration) time.Duration {
 	var sum time.Duration
 	const seeds = 60
 	for seed := range uint64(seeds) {
 		re.engines = engines(count)
-		sum += re.run(seed)
+		sum += run(re, seed)
 	}
 	return sum / seeds
 }
@@ -256,17 +261,6 @@
 	require.Greater(t, without, calm+known)
 }
 
-// longest is the mean time of the longest item over many seeds.
-func longest(re replay, count int) time.Duration {
-	var sum time.Duration
-	const seeds = 60
-	for seed := range uint64(seeds) {
-		re.engines = engines(count)
-		sum += re.longest(seed)
-	}
-	return sum / seeds
-}
-
 // The load pattern: an engine that was slow before the step still is, and
 // nothing was measured on it in between. The longest items don't find out.
 func TestReplayProbe(t *testing.T) {
