batch, runs, intake: no decision depends on the time of day

Cause, found by reading: an item was given up, an orphan adopted and a job forgotten by the age that its head gives, which is one clock's time of day against another's. A clock that is ahead by the time after which items may be given up errored all items at once; ten minutes ahead dropped fresh jobs from the store; and jobs submitted by a clock hours behind were not adopted. Now each is counted from when this process heard of the job, which is never more than its age. TestWrongClocks: fails before (items not listed), passes after, 5 of 5.

--- a/batch/index.go
+++ b/batch/index.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log"
 
+	"bilberryshelf/core"
 	"bilberryshelf/logs"
 	"bilberryshelf/table"
 )
@@ -13,16 +14,33 @@
 // Index is the heads of all jobs as the feed told them. It is safe for
 // concurrent use. Make it with NewIndex.
 type Index struct {
-	logger  log.Logger
-	mutex   sync.Mutex
-	heads   map[string]Known
+	clock  core.Clock
+	logger log.Logger
+	mutex  sync.Mutex
+	heads  map[string]Known
+	// since is when each job was first heard of here.
+	since   map[string]time.Time
 	changed chan struct{}
 	fresh   time.Time
 }
 
 // NewIndex makes an empty index.
-func NewIndex(lg log.Logger) *Index {
-	return &Index{logger: lg, heads: map[string]Known{}, changed: make(chan struct{})}
+func NewIndex(clock core.Clock, lg log.Logger) *Index {
+	return &Index{
+		clock: clock, logger: lg, heads: map[string]Known{}, since: map[string]time.Time{}, changed: make(chan struct{}),
+	}
+}
+
+// Heard is how long this process has known of a job: never more than its age,
+// whatever the clocks of others say.
+func (in *Index) Heard(job string) time.Duration {
+	in.mutex.Lock()
+	defer in.mutex.Unlock()
+	since, found := in.since[job]
+	if !found {
+		return 0
+	}
+	return in.clock.Now().Sub(since)
 }
 
 // Get returns a job's head, and whether it is known.
@@ -68,6 +86,9 @@
 	if have, found := in.heads[job]; found && have.Version >= kn.Version {
 		return false
 	}
+	if _, heard := in.since[job]; !heard {
+		in.since[job] = in.clock.Now()
+	}
 	in.heads[job] = kn
 	return true
 }
@@ -85,6 +106,7 @@
 	for _, ro := range rows {
 		if ro.Dropped {
 			delete(in.heads, ro.ID.Key)
+			delete(in.since, ro.ID.Key)
 			news = true
 			continue
 		}
--- a/intake/adopt.go
+++ b/intake/adopt.go
@@ -15,7 +15,8 @@
 	ownWait = time.Second
 	// adoptTime bounds one adoption.
 	adoptTime = 4 * time.Second
-	// mostAge is the age after which no job is adopted; all its bounds are over.
+	// mostAge is how long after it was heard of no job is adopted any more; all its
+	// bounds are over.
 	mostAge = 2 * time.Minute
 )
 
@@ -26,7 +27,7 @@
 	}
 	now := en.clock.Now()
 	for job, kn := range heads {
-		if !kn.Head.Open() || kn.Head.Age(now) > mostAge || en.owner.Owns(job) {
+		if !kn.Head.Open() || en.index.Heard(job) > mostAge || en.owner.Owns(job) {
 			delete(en.orphans, job)
 			continue
 		}
--- a/intake/forget.go
+++ b/intake/forget.go
@@ -8,20 +8,19 @@
 	"bilberryshelf/logs"
 )
 
-// KeepFor is how long after its submission a job stays readable: five times the
-// longest that the platform asks for.
+// KeepFor is how long the home of a job keeps it readable after it heard of it:
+// five times the longest that the platform asks for.
 const KeepFor = 10 * time.Minute
 
 // forgetOld drops one job that need not be kept any longer from the store. The
 // home of the job's route does so.
 func (en *Entry) forgetOld(ctx context.Context, heads map[string]batch.Known) {
-	now := en.clock.Now()
 	for job, kn := range heads {
-		if kn.Head.Age(now) < KeepFor || en.home(kn.Head.Route).Name != en.name {
+		if en.index.Heard(job) < KeepFor || en.home(kn.Head.Route).Name != en.name {
 			continue
 		}
 		err := en.ledger.Forget(ctx, job, kn)
-		logs.Info(en.logger, "job forgotten", "id", job, "age", kn.Head.Age(now), "listed", kn.Head.Listed, "err", err)
+		logs.Info(en.logger, "job forgotten", "id", job, "age", kn.Head.Age(en.clock.Now()), "listed", kn.Head.Listed, "err", err)
 		return
 	}
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -115,7 +115,7 @@
 func New(se Settings, po Ports, de Decoders, clock core.Clock, lg log.Logger, me *meter.Set) *Entry {
 	en := &Entry{
 		settings: se, name: se.Node + "/" + strconv.FormatUint(rand.Uint64(), 36), clock: clock, logger: lg, meters: me,
-		decoders: de, index: batch.NewIndex(lg), board: &calls.Board{}, loop: core.NewLoop(), dial: po.Dial, starter: po.Starter,
+		decoders: de, index: batch.NewIndex(clock, lg), board: &calls.Board{}, loop: core.NewLoop(), dial: po.Dial, starter: po.Starter,
 		done: make(chan struct{}), malformed: map[string]bool{}, orphans: map[string]time.Time{}, dials: map[string]table.Caller{},
 		losses: make(chan poison.Loss, mostLosses),
 	}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -202,6 +202,32 @@
 	})
 }
 
+// The load pattern: jobs are submitted at entries whose time of day is wrong by
+// hours. Nothing is given up, forgotten or left without an owner for it.
+func TestWrongClocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wo := newWorld(t, 3)
+		defer wo.stop()
+		jobs := []*batch.Job{job("j0", 6), job("j1", 6)}
+		for node, jo := range jobs {
+			require.Nil(t, wo.submit(node, jo))
+			wo.misdate(jo.ID, time.Duration(2*node-1)*3*time.Hour)
+		}
+		time.Sleep(500 * time.Millisecond)
+		owner := wo.owner("j0")
+		wo.entries[owner].Kill()
+		<-wo.ended[owner]
+		time.Sleep(20 * time.Second)
+		for node := range wo.entries {
+			if node != owner {
+				for _, jo := range jobs {
+					wo.whole(node, jo)
+				}
+			}
+		}
+	})
+}
+
 // An ended job takes no more results, and its items stop within the bound.
 func TestEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/intake/world_test.go
+++ b/intake/world_test.go
@@ -265,6 +265,20 @@
 	}
 }
 
+// misdate shifts the time of a job's submission, as if it was read from a clock that
+// is wrong.
+func (wo *world) misdate(id string, by time.Duration) {
+	wo.t.Helper()
+	ctx := context.Background()
+	page, err := wo.rows.List(ctx, table.Range{Table: batch.HeadTable, Part: batch.Part(id), From: id, To: id + "\x00"})
+	require.NoError(wo.t, err)
+	he, err := batch.DecodeHead(page.Rows[0].Value)
+	require.NoError(wo.t, err)
+	he.Submitted += by.Milliseconds()
+	_, err = wo.rows.Commit(ctx, table.Tx{Puts: []table.Put{{ID: batch.HeadID(id), Value: batch.EncodeHead(he)}}})
+	require.NoError(wo.t, err)
+}
+
 // owner is the entry that runs a job.
 func (wo *world) owner(id string) int {
 	wo.t.Helper()
--- a/runs/job.go
+++ b/runs/job.go
@@ -26,6 +26,8 @@
 	body  *batch.Job
 	known batch.Known
 	route conf.Route
+	// since is when the job came to this owner.
+	since time.Time
 	// service takes all items of the job: engines of another one would not
 	// have its prompts.
 	service string
--- a/runs/life.go
+++ b/runs/life.go
@@ -31,6 +31,7 @@
 			return
 		}
 		jo := newJob(body, kn, route, listed)
+		jo.since = ow.Clock.Now()
 		ow.jobs[body.ID] = jo
 		logs.Info(ow.Logger, "job started", "id", body.ID, "route", route.Name, "model", body.Model, "step", body.Step,
 			"items", len(body.Items), "listed", len(listed), "oldest", body.Oldest, "epoch", kn.Head.Epoch, "age", kn.Head.Age(ow.Clock.Now()))
@@ -171,9 +172,10 @@
 	}
 }
 
-// expire gives up items whose time is over.
+// expire gives up items whose time is over, counted from when the job came here:
+// the time of its submission was read from another clock.
 func (ow *Owner) expire(now time.Time, jo *job) {
-	if jo.route.GiveUp <= 0 || jo.known.Head.Age(now) < jo.route.GiveUp+giveUpSlack {
+	if jo.route.GiveUp <= 0 || now.Sub(jo.since) < jo.route.GiveUp {
 		return
 	}
 	for _, it := range jo.items {
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -124,9 +124,6 @@
 	cutRestMost = 3 * time.Second
 	// paceMemory is how long the pace of an engine without runs is trusted.
 	paceMemory = 3 * time.Second
-	// giveUpSlack is added to the time after which an item may be given up, since
-	// the clocks of two entries differ.
-	giveUpSlack = 3 * time.Second
 	// saveEvery is the pause between saves of partial texts, saveLeast the events
 	// since the last one that make a save worth its bytes: half a second of work.
 	saveEvery = time.Second
