intake, place: lapsed losses are dropped by the ledger's own loop

Found by reading the whole change: forgetLosses built a transaction of its own beside Ledger.DropRows, and dropped only the first 90 rows, while the tally had forgotten all; rows beyond those stayed in the store. DropRows splits them and is called instead. place.Median is used in its package only.

--- a/intake/losses.go
+++ b/intake/losses.go
@@ -67,18 +67,15 @@
 	if len(lapsed) == 0 || en.home(poison.Table).Name != en.name {
 		return
 	}
-	var tx table.Tx
-	for _, lo := range lapsed[:min(len(lapsed), mostDropped)] {
-		tx.Drops = append(tx.Drops, lo.ID())
+	ids := make([]table.ID, len(lapsed))
+	for at, lo := range lapsed {
+		ids[at] = lo.ID()
 	}
-	if err := en.write(ctx, tx); err != nil {
-		logs.Warn(en.logger, "lapsed losses not dropped", "count", len(tx.Drops), "err", err)
+	if err := en.ledger.DropRows(ctx, ids); err != nil {
+		logs.Warn(en.logger, "lapsed losses not dropped", "count", len(ids), "err", err)
 	}
 }
 
-// mostDropped bounds the rows that one transaction drops, below the store's 100.
-const mostDropped = 90
-
 // write writes rows without a condition.
 func (en *Entry) write(ctx context.Context, tx table.Tx) error {
 	call, cancel := context.WithTimeout(ctx, writeTime)
--- a/place/scene.go
+++ b/place/scene.go
@@ -16,7 +16,7 @@
 }
 
 // NewScene takes engines over; Take changes them.
-func NewScene(engines []Engine) *Scene { return &Scene{engines: engines, median: Median(engines)} }
+func NewScene(engines []Engine) *Scene { return &Scene{engines: engines, median: median(engines)} }
 
 // Engine returns the engine at a position.
 func (sc *Scene) Engine(at int) Engine { return sc.engines[at] }
@@ -28,8 +28,8 @@
 	sc.engines[at].Unproven++
 }
 
-// Median is the median pace of the engines that have one.
-func Median(engines []Engine) time.Duration {
+// median is the median pace of the engines that have one.
+func median(engines []Engine) time.Duration {
 	var paces []time.Duration
 	for _, en := range engines {
 		if en.Pace > 0 {
