platform, fleet, calls, runs: end work on targets that leave, bound what is read of responses

Nothing read the header Server-Leaving. Responses were read without bounds (the store) or cut at 32 MiB and passed on as complete (plain requests, bodies of streams). A head could take 10 MB. A refusal was read as the promise "not run" without a look at the request that it names, so a second copy of an earlier 503, late on a connection in use again, made a request that was running count as not run. The connection of a response to another request was used again. The body of a refusal could hold the request up. Comments on a stream counted as events, so a stalled one never ended; a run without events ended only when another engine had a slot. net/http wrote to standard error, up to 4 KB a line, and blocked on it.

Ruled out: telling other entries of a departure (PLATFORM.md, "What was weighed").

--- a/boot/boot.go
+++ b/boot/boot.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 
+	"connectrpc.com/connect"
 	"github.com/go-kit/log"
 
 	"bilberryshelf/core"
@@ -68,7 +69,7 @@
 // and metrics to all.
 func guardHandler(gu *guard.Guard, se setup.Guard, me *meter.Set) http.Handler {
 	mux := http.NewServeMux()
-	path, handler := wireconnect.NewGuardServiceHandler(gu)
+	path, handler := wireconnect.NewGuardServiceHandler(gu, connect.WithReadMaxBytes(wire.MaxMessageBytes))
 	mux.Handle(path, server.RequireToken(se.Token.Secret(), handler))
 	mux.Handle("POST "+wire.DispatchPath, server.RequireToken(se.Token.Secret(), gu))
 	mux.HandleFunc("GET /healthz", func(out http.ResponseWriter, _ *http.Request) { out.WriteHeader(http.StatusOK) })
--- a/boot/node.go
+++ b/boot/node.go
@@ -4,9 +4,11 @@
 	"net/http"
 	"runtime/debug"
 
+	"connectrpc.com/connect"
 	"github.com/go-kit/log"
 
 	"bilberryshelf/core"
+	"bilberryshelf/fleet"
 	"bilberryshelf/intake"
 	"bilberryshelf/meter"
 	"bilberryshelf/order"
@@ -15,6 +17,7 @@
 	"bilberryshelf/server"
 	"bilberryshelf/setup"
 	"bilberryshelf/table"
+	"bilberryshelf/wire"
 	"bilberryshelf/wire/wireconnect"
 )
 
@@ -27,7 +30,7 @@
 	// step start at once.
 	minJobCores = 0.5
 	// maxBodyShare is the share of the instance's memory that the bodies of requests may
-	// take. It is small because a job is also held decoded, encoded and in the text of a
+	// take, and that those of responses may take while they are read. It is small because a job is also held decoded, encoded and in the text of a
 	// call.
 	maxBodyShare = 0.125
 	// gcPercent keeps the heap small, because the cost of memory depends on its peak.
@@ -43,16 +46,18 @@
 // NodeEntry builds an entry on the platform.
 func NodeEntry(se setup.NodeSettings, lg log.Logger, me *meter.Set) (Daemon, error) {
 	limitMemory(se.Instance)
-	store, targets := platform.NewStore(se.Store.Address), platform.NewTargets()
+	limits := responseLimits(se)
+	departures := &fleet.Departures{}
+	store, targets := platform.NewStore(se.Store.Address).WithLimits(limits), platform.NewTargets().WithLimits(limits).WithDepartures(departures)
 	inner := &http.Client{Transport: innerTransport()}
 	en := intake.New(intake.Settings{
 		Node: se.Name, Region: se.Place.Region, Domain: se.Place.FailureDomain, Inner: se.Listen.Inner, Grace: se.Timing.Grace.Std(),
 		LowCapacity: se.Instance.Cores < minJobCores, MaxBodyBytes: int64(maxBodyShare * float64(se.Instance.Memory)),
 	}, intake.Ports{
-		Direct: store, Sender: targets, Streamer: targets, Engine: targets,
+		Direct: store, Sender: targets, Streamer: targets, Engine: targets, Departures: departures,
 		Dial: func(addr string) table.Client { return relay.NewClient(inner, addr) },
 		Starter: func(addr string) intake.Starter {
-			return wireconnect.NewJobServiceClient(inner, "http://"+addr)
+			return wireconnect.NewJobServiceClient(inner, "http://"+addr, connect.WithReadMaxBytes(wire.MaxMessageBytes))
 		},
 	}, intake.Decoders{
 		OperatorTable: platform.OperatorTable, TargetTable: platform.TargetTable,
@@ -60,19 +65,28 @@
 	}, core.SystemClock{}, lg, me)
 	handler := &platform.Handler{Service: en, Logger: lg}
 	mux := http.NewServeMux()
-	mux.Handle(wireconnect.NewTableServiceHandler(relay.Service{Direct: store}))
-	mux.Handle(wireconnect.NewJobServiceHandler(en))
+	mux.Handle(wireconnect.NewTableServiceHandler(relay.Service{Direct: store}, connect.WithReadMaxBytes(wire.MaxMessageBytes)))
+	mux.Handle(wireconnect.NewJobServiceHandler(en, connect.WithReadMaxBytes(wire.MaxMessageBytes)))
 	return newDaemon(en, map[string]http.Handler{
 		se.Listen.Callers: handler, se.Listen.Readiness: handler, se.Listen.Inner: mux, se.Listen.Metrics: metricsHandler(me),
 	})
 }
 
+// responseLimits returns the limits on responses of an instance.
+func responseLimits(se setup.NodeSettings) platform.ResponseLimits {
+	li := se.Limits
+	return platform.ResponseLimits{
+		Head: int64(li.MaxHead), Body: int64(li.MaxBody), Event: int64(li.MaxEvent), Text: int64(li.MaxText), Page: int64(li.MaxPage),
+		Buffered: int64(maxBodyShare * float64(se.Instance.Memory)),
+	}
+}
+
 // NodeGuard builds the guard of an engine on the platform.
 func NodeGuard(se setup.NodeSettings, lg log.Logger, me *meter.Set) (Daemon, error) {
 	limitMemory(se.Instance)
 	gu := &order.Guard{
 		Name: se.Name, Addr: se.Engine.Address, Service: se.Engine.Service,
-		Client: platform.NewEngine(se.Engine.Address), Store: platform.NewStore(se.Store.Address),
+		Client: platform.NewEngine(se.Engine.Address), Store: platform.NewStore(se.Store.Address).WithLimits(responseLimits(se)),
 		Clock: core.SystemClock{}, Logger: lg, Meters: me,
 		OperatorTable: platform.OperatorTable, TargetTable: platform.TargetTable,
 		DecodeConfig: platform.DecodeConfig, DecodeVersion: platform.DecodeVersion, DecodeTarget: platform.DecodeTarget,
@@ -105,5 +119,6 @@
 func innerTransport() *http.Transport {
 	tr := http.DefaultTransport.(*http.Transport).Clone()
 	tr.Proxy, tr.MaxIdleConnsPerHost, tr.DisableCompression = nil, maxIdlePeerConns, true
+	tr.MaxResponseHeaderBytes = wire.MaxHeadBytes
 	return tr
 }
--- a/calls/calls.go
+++ b/calls/calls.go
@@ -26,6 +26,9 @@
 //     complete.
 //  9. A request that crashed poison.MaxDeaths targets, as counted over all entries, is
 //     not sent to any more. Later requests with the same content are refused at once.
+//  10. A target that announces in a response that it leaves gets no further request of
+//     this entry, not even one that was assigned to it and is not sent yet; that one
+//     is assigned again.
 package calls
 
 import (
@@ -108,6 +111,8 @@
 	// called for each crash that this entry detects and must not block.
 	Losses  poison.Counter
 	OnDeath func(lo poison.Loss)
+	// Departures holds the targets that announced that they leave; nil means none.
+	Departures *fleet.Departures
 }
 
 // outcome is the result of one attempt.
@@ -244,7 +249,7 @@
 	at.inFlight++
 	go func() {
 		started := fo.Clock.Now()
-		res, err := fo.Sender.Send(ctx, ta, at.re)
+		res, err := fo.send(ctx, ta, at.re)
 		ou := outcome{target: ta, response: res, err: core.AsError(err), took: fo.Clock.Now().Sub(started)}
 		canceled := ctx.Err() != nil
 		fo.Balancer.end(fo.Clock.Now(), ta.ID, ou, canceled)
@@ -254,6 +259,41 @@
 	return true
 }
 
+// send sends a request, unless its target announced since it was chosen that it leaves
+// (rule 10).
+func (fo *Forwarder) send(ctx context.Context, ta fleet.Target, re Request) (Response, error) {
+	if fo.Departures.Departing(ta) {
+		return Response{}, leavingError(ta)
+	}
+	res, err := fo.Sender.Send(ctx, ta, re)
+	fo.recordTooLarge(re, ta, err)
+	return res, err
+}
+
+// stream does the same for a request whose response is a stream.
+func (fo *Forwarder) stream(ctx context.Context, ta fleet.Target, re Request, after int,
+	begin func(rs Response) error, event func(id int, raw []byte) error,
+) error {
+	if fo.Departures.Departing(ta) {
+		return leavingError(ta)
+	}
+	err := fo.Streamer.Stream(ctx, ta, re, after, begin, event)
+	fo.recordTooLarge(re, ta, err)
+	return err
+}
+
+func leavingError(ta fleet.Target) error {
+	return core.Refuse(core.CodeDraining, "target %s is leaving", ta.ID)
+}
+
+// recordTooLarge logs and counts a response that exceeded the limits on its size.
+func (fo *Forwarder) recordTooLarge(re Request, ta fleet.Target, err error) {
+	if failed := core.AsError(err); failed != nil && failed.Code == core.CodeAnswerTooLarge {
+		fo.Meters.Count("responses-too-large", ta.Service, 1)
+		logs.Warn(fo.Logger, "response too large, connection closed", "id", re.ID, "target", ta.ID, "service", ta.Service, "text", failed.Text)
+	}
+}
+
 // accept reports whether an outcome is a response for the caller. If not, it merges the
 // error into the verdict and the counts of the request.
 func (at *attempts) accept(ou outcome) bool {
@@ -264,7 +304,9 @@
 	at.verdict = at.verdict.Combine(ou.err.Verdict)
 	if ou.err.Verdict == core.NotRun {
 		at.sent--
-		at.refused++
+		if ou.err.Code != core.CodeDraining { // a target that leaves was not asked
+			at.refused++
+		}
 	}
 	return false
 }
--- a/calls/stream.go
+++ b/calls/stream.go
@@ -33,10 +33,13 @@
 	Event(raw []byte) error
 }
 
+// NoEvent is the id of comments and empty lines between events.
+const NoEvent = -1
+
 // Streamer sends a request whose response is a stream of events and asks for those that
 // follow the event id after. It calls begin with the head of a valid response and event
-// with each complete event and its id. Its errors are those of a Sender; nil means that the
-// response is complete.
+// with each complete event and its id, or with NoEvent. Its errors are those of a Sender;
+// nil means that the response is complete.
 type Streamer interface {
 	Stream(ctx context.Context, ta fleet.Target, re Request, after int, begin func(rs Response) error, event func(id int, raw []byte) error) error
 }
@@ -126,10 +129,19 @@
 		stalled atomic.Bool
 		first   time.Duration
 	)
-	watch := time.AfterFunc(st.firstEventTimeout(started), func() { stalled.Store(true); cancel() })
+	idleLimit := st.firstEventTimeout(started)
+	lastEventAt := began
+	watch := time.AfterFunc(idleLimit, func() { stalled.Store(true); cancel() })
 	defer watch.Stop()
-	err := fo.Streamer.Stream(ctx, ta, st.re, st.lastEventID, st.begin, func(id int, raw []byte) error {
-		watch.Stop() // time spent on a slow reader does not count
+	err := fo.stream(ctx, ta, st.re, st.lastEventID, st.begin, func(id int, raw []byte) error {
+		watch.Stop()       // time spent on a slow reader does not count
+		if id == NoEvent { // a target may stall and still send a comment now and then
+			idle := fo.Clock.Now().Sub(lastEventAt)
+			err := st.forward(raw)
+			lastEventAt = fo.Clock.Now().Add(-idle)
+			watch.Reset(max(idleLimit-idle, 0))
+			return err
+		}
 		if first == 0 {
 			first = fo.Clock.Now().Sub(began)
 		}
@@ -137,14 +149,17 @@
 			st.firstEventAfter = fo.Clock.Now().Sub(started)
 			fo.Meters.Observe("first-event", st.re.Route.Name, st.firstEventAfter)
 		}
-		if err := st.sink.Event(raw); err != nil {
-			return core.InDoubt(core.CodeAnswerDropped, "the caller has disconnected: %v", err)
+		if err := st.forward(raw); err != nil {
+			return err
 		}
 		st.events++
-		st.lastEventID, st.lastEventAt = max(st.lastEventID, id), fo.Clock.Now()
+		lastEventAt = fo.Clock.Now()
+		st.lastEventID, st.lastEventAt = max(st.lastEventID, id), lastEventAt
+		idleLimit = st.re.Deadline.Sub(lastEventAt)
 		if repeatable(st.re.Route) {
-			watch.Reset(streamIdleTimeout)
+			idleLimit = streamIdleTimeout
 		}
+		watch.Reset(idleLimit)
 		return nil
 	})
 	if err != nil && stalled.Load() {
@@ -157,6 +172,14 @@
 	return err
 }
 
+// forward passes bytes of the stream on to the caller.
+func (st *stream) forward(raw []byte) error {
+	if err := st.sink.Event(raw); err != nil {
+		return core.InDoubt(core.CodeAnswerDropped, "the caller has disconnected: %v", err)
+	}
+	return nil
+}
+
 // callerDisconnected reports whether an attempt ended because the caller disconnected.
 func callerDisconnected(err *core.Error) bool {
 	return err != nil && err.Code == core.CodeAnswerDropped
--- a/calls/stream_test.go
+++ b/calls/stream_test.go
@@ -23,8 +23,10 @@
 	// err ends the attempt; nil means that the stream is complete.
 	err *core.Error
 	// hang keeps the stream open without further events.
-	hang   bool
-	status int
+	hang bool
+	// comments is the time between two comments of a stream that hangs; zero means none.
+	comments time.Duration
+	status   int
 }
 
 // fakeStreamer plays one streamAttempt per call and records the requested positions.
@@ -51,9 +53,19 @@
 			return err
 		}
 	}
-	if sa.hang {
-		<-ctx.Done()
-		return core.InDoubt(core.CodeTargetLost, "left")
+	for sa.hang {
+		tick := time.After(sa.comments)
+		if sa.comments == 0 {
+			tick = nil
+		}
+		select {
+		case <-tick:
+			if err := event(calls.NoEvent, []byte(":")); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return core.InDoubt(core.CodeTargetLost, "left")
+		}
 	}
 	if sa.err != nil {
 		return sa.err
@@ -101,6 +113,10 @@
 		{name: "cut: aborted", attempts: []streamAttempt{{events: 2, err: cut}}, text: "1 2 ", afterIDs: []int{0}, code: core.CodeAnswerCut, verdict: core.MayHaveRun, within: 110 * time.Millisecond},
 		{name: "resumed after the last event", resumable: true, attempts: []streamAttempt{{events: 2, err: cut}, {events: 2}}, text: "1 2 3 4 ", afterIDs: []int{0, 2}, within: 210 * time.Millisecond},
 		{name: "resumed after the idle timeout", resumable: true, attempts: []streamAttempt{{events: 2, hang: true}, {events: 2}}, text: "1 2 3 4 ", afterIDs: []int{0, 2}, within: 1300 * time.Millisecond},
+		{name: "comments are not progress", resumable: true, attempts: []streamAttempt{{events: 2, hang: true, comments: 400 * time.Millisecond}, {events: 2}}, text: "1 2 ::3 4 ", afterIDs: []int{0, 2}, within: 1300 * time.Millisecond},
+		{name: "comments before the first event are not progress", resumable: true, attempts: []streamAttempt{{hang: true, comments: 400 * time.Millisecond}, {events: 2}}, text: "::1 2 ", afterIDs: []int{0, 0}, within: 1200 * time.Millisecond},
+		{name: "comments read slowly", resumable: true, attempts: []streamAttempt{{events: 1, hang: true, comments: 400 * time.Millisecond}, {events: 1}}, sink: sink{delay: 900 * time.Millisecond}, text: "1 ::2 ", afterIDs: []int{0, 1}, within: 4800 * time.Millisecond},
+		{name: "stalled before the first event, with comments", attempts: []streamAttempt{{hang: true, comments: 300 * time.Millisecond}}, text: "::::::", afterIDs: []int{0}, code: core.CodeTargetLost, verdict: core.MayHaveRun, within: 2100 * time.Millisecond},
 		{name: "resumed when a slot is free", resumable: true, attempts: []streamAttempt{{events: 1, err: cut}, {err: full}, {err: full}, {err: full}, {err: full}, {events: 1}}, text: "1 2 ", afterIDs: []int{0, 1, 1, 1, 1, 1}, within: 300 * time.Millisecond},
 		{name: "no more targets than the route permits", resumable: true, attempts: []streamAttempt{{events: 1, err: cut}, {events: 1, err: cut}}, text: "1 2 ", afterIDs: []int{0, 1}, code: core.CodeAnswerCut, verdict: core.MayHaveRun, within: 110 * time.Millisecond},
 		{name: "not resumed by a response with another status", resumable: true, attempts: []streamAttempt{{events: 1, err: cut}, {events: 1, status: 500}}, text: "1 ", afterIDs: []int{0, 1}, code: core.CodeAnswerCut, verdict: core.MayHaveRun, within: 110 * time.Millisecond},
--- a/client/trainer.go
+++ b/client/trainer.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bilberryshelf/core"
+	"bilberryshelf/limit"
 	"bilberryshelf/sample"
 )
 
@@ -32,7 +32,7 @@
 	Wait time.Duration
 }
 
-// maxResponseBytes limits how much of a response is read.
+// maxResponseBytes is the largest response, in bytes. A larger one is an error.
 const maxResponseBytes = 256 << 20
 
 // Call sends a request and decodes the JSON response. An error response and a
@@ -56,7 +56,7 @@
 		return core.InDoubt(core.CodeAnswerCut, "%v", err)
 	}
 	defer res.Body.Close() // an error on closing a fully read body is harmless
-	raw, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	raw, err := limit.ReadAll(res.Body, maxResponseBytes)
 	if err != nil {
 		return core.InDoubt(core.CodeAnswerCut, "%v", err)
 	}
--- a/core/error.go
+++ b/core/error.go
@@ -31,6 +31,7 @@
 	CodeTargetLost       Code = "target-lost"
 	CodeAnswerCut        Code = "answer-cut"
 	CodeAnswerDropped    Code = "answer-dropped"
+	CodeAnswerTooLarge   Code = "answer-too-large"
 	CodeOldIncarnation   Code = "old-incarnation"
 	CodeStaleRevision    Code = "stale-revision"
 	CodeSettledNotRun    Code = "settled-not-run"
--- a/engine/client.go
+++ b/engine/client.go
@@ -8,11 +8,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"bilberryshelf/limit"
 )
 
 // Client sends health checks and orders to one target.
@@ -53,7 +54,7 @@
 const (
 	healthPath = "/health"
 	loadPath   = "/v1/orders/load"
-	// maxResponse is the largest response that is read, in bytes.
+	// maxResponse is the largest response, in bytes. A larger one is an error.
 	maxResponse = 64 << 10
 )
 
@@ -108,6 +109,6 @@
 		return nil, 0, err
 	}
 	defer res.Body.Close() // the body has been read; a failed close loses nothing
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponse))
+	body, err := limit.ReadAll(res.Body, maxResponse)
 	return body, res.StatusCode, err
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,6 +30,7 @@
 	"bilberryshelf/setup"
 	"bilberryshelf/sheet"
 	"bilberryshelf/store"
+	"bilberryshelf/wire"
 	"bilberryshelf/wire/wireconnect"
 )
 
@@ -165,7 +166,7 @@
 // than on a shared HTTP/2 connection.
 func innerClient(tr meter.Traffic) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DisableCompression: true, IdleConnTimeout: time.Minute, MaxIdleConnsPerHost: maxIdlePerHost,
+		DisableCompression: true, IdleConnTimeout: time.Minute, MaxIdleConnsPerHost: maxIdlePerHost, MaxResponseHeaderBytes: wire.MaxHeadBytes,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
--- a/entry/http.go
+++ b/entry/http.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -48,7 +49,7 @@
 // InnerHandler serves the other entries, which authenticate with the nodes' token.
 func (en *Entry) InnerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wireconnect.NewPeerServiceHandler(en))
+	mux.Handle(wireconnect.NewPeerServiceHandler(en, connect.WithReadMaxBytes(wire.MaxMessageBytes)))
 	return server.RequireToken(en.nodeToken, mux)
 }
 
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -268,6 +268,7 @@
 	return []connect.ClientOption{
 		connect.WithInterceptors(bearer(en.nodeToken)),
 		connect.WithAcceptCompression("gzip", nil, nil),
+		connect.WithReadMaxBytes(wire.MaxMessageBytes),
 	}
 }
 
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -19,6 +19,7 @@
 	"bilberryshelf/core"
 	"bilberryshelf/engine"
 	"bilberryshelf/fence"
+	"bilberryshelf/limit"
 	"bilberryshelf/wire"
 )
 
@@ -38,7 +39,7 @@
 
 // ServeHTTP runs one attempt: a POST of a DispatchRequest.
 func (gu *Guard) ServeHTTP(out http.ResponseWriter, hr *http.Request) {
-	raw, err := io.ReadAll(hr.Body)
+	raw, err := limit.ReadAll(hr.Body, wire.MaxMessageBytes)
 	req := &wire.DispatchRequest{}
 	if err == nil {
 		err = proto.Unmarshal(raw, req)
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -22,6 +22,7 @@
 	"bilberryshelf/meter"
 	"bilberryshelf/setup"
 	"bilberryshelf/store"
+	"bilberryshelf/wire"
 	"bilberryshelf/wire/wireconnect"
 )
 
@@ -104,8 +105,8 @@
 func New(se setup.Guard, cl core.Clock, lg log.Logger, me *meter.Set, tables Table, objects Objects) *Guard {
 	// The transports need no timeouts of their own: the context of every call has a time
 	// limit from the settings, which were validated.
-	pooled := &http.Transport{MaxIdleConnsPerHost: se.Limits.Capacity + 1, DisableCompression: true}
-	unpooled := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	pooled := &http.Transport{MaxIdleConnsPerHost: se.Limits.Capacity + 1, DisableCompression: true, MaxResponseHeaderBytes: wire.MaxHeadBytes}
+	unpooled := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: wire.MaxHeadBytes}
 	gu := &Guard{
 		settings: se, clock: cl, meters: me, tables: tables, objects: objects,
 		logger:   log.With(lg, "target", se.Target),
--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,6 +43,8 @@
 	fail map[string]runs.Ending
 	// stalled holds the ids of targets that send no events.
 	stalled map[string]bool
+	// hangFirst is set if the first run of each item hangs after its first event.
+	hangFirst bool
 	// running counts the current runs of each item.
 	running map[string]int
 	// concurrent counts runs of an item that started while another run of it went on.
@@ -79,7 +82,7 @@
 	if en.running[id] > 1 {
 		en.concurrent++
 	}
-	version, ending := en.version, en.fail[id]
+	version, ending, hangs := en.version, en.fail[id], en.hangFirst && en.runs[id] == 1
 	en.mutex.Unlock()
 	defer func() {
 		en.mutex.Lock()
@@ -91,7 +94,7 @@
 	}
 	for at := rq.After + 1; at <= length(id); at++ {
 		en.mutex.Lock()
-		stalled := en.stalled[ta.ID]
+		stalled := en.stalled[ta.ID] || (hangs && at > 1)
 		en.mutex.Unlock()
 		pause := time.After(eventInterval)
 		if stalled {
@@ -136,6 +139,62 @@
 	return calls.Response{Status: http.StatusOK, Stamp: "score-" + re.ID}, nil
 }
 
+// announcer is an entry's client of the targets. It reports those that leave and records
+// when each target got a request.
+type announcer struct {
+	*engines
+	*sender
+	departures *fleet.Departures
+
+	mutex sync.Mutex
+	// leaving holds the ids of targets that say in each response that they leave.
+	leaving map[string]bool
+	started map[string][]time.Time
+}
+
+func (an *announcer) respond(ta fleet.Target) {
+	an.mutex.Lock()
+	an.started[ta.ID] = append(an.started[ta.ID], time.Now())
+	leaving := an.leaving[ta.ID]
+	an.mutex.Unlock()
+	if leaving {
+		an.departures.Announce(time.Now(), ta)
+	}
+}
+
+func (an *announcer) Run(ctx context.Context, ta fleet.Target, rq runs.Request, event func(runs.Event)) runs.Outcome {
+	an.respond(ta)
+	return an.engines.Run(ctx, ta, rq, event)
+}
+
+func (an *announcer) Send(ctx context.Context, ta fleet.Target, re calls.Request) (calls.Response, error) {
+	an.respond(ta)
+	return an.sender.Send(ctx, ta, re)
+}
+
+// setLeaving has targets announce their departure from now on.
+func (an *announcer) setLeaving(ids ...string) {
+	an.mutex.Lock()
+	defer an.mutex.Unlock()
+	an.leaving = map[string]bool{}
+	for _, id := range ids {
+		an.leaving[id] = true
+	}
+}
+
+// countSince returns the number of requests that a target got from a time on.
+func (an *announcer) countSince(id string, from time.Time) int {
+	an.mutex.Lock()
+	defer an.mutex.Unlock()
+	count := 0
+	for _, at := range an.started[id] {
+		if !at.Before(from) {
+			count++
+		}
+	}
+	return count
+}
+
 // link is an entry's connection to the store. While it is cut, calls get no response.
 type link struct {
 	*fake.Rows
@@ -187,8 +246,11 @@
 	engines *engines
 	sender  *sender
 	entries []*intake.Entry
+	clients []*announcer
 	links   []*link
 	ended   []chan struct{}
+	// startedAt is the start time of the targets, as the registry lists it.
+	startedAt atomic.Int64
 }
 
 var route = conf.Route{
@@ -204,7 +266,7 @@
 }
 
 // decoders returns decoders that derive the content of a row from its key.
-func decoders() intake.Decoders {
+func (cl *cluster) decoders() intake.Decoders {
 	return intake.Decoders{
 		OperatorTable: operatorTable, TargetTable: targetTable,
 		Config: func(ro table.Row) (*conf.Config, error) {
@@ -215,7 +277,7 @@
 		},
 		Version: func(table.Row) (string, uint64, bool, error) { return "", 0, false, nil },
 		Target: func(ro table.Row) (fleet.Target, error) {
-			ta := fleet.Target{ID: ro.ID.Key, Addr: ro.ID.Key, Slots: 12, Service: "desk"}
+			ta := fleet.Target{ID: ro.ID.Key, Addr: ro.ID.Key, Slots: 12, Service: "desk", StartedAt: cl.startedAt.Load()}
 			if strings.HasPrefix(ro.ID.Key, "lm") {
 				ta.Service, ta.Models = "lm", map[string]uint64{"m": 1}
 			}
@@ -297,10 +359,11 @@
 // start starts an entry on a node and replaces the node's previous entry, if any.
 func (cl *cluster) start(node int) {
 	li := &link{Rows: cl.rows}
+	an := &announcer{engines: cl.engines, sender: cl.sender, departures: &fleet.Departures{}, started: map[string][]time.Time{}}
 	en := intake.New(
 		intake.Settings{Node: "n" + strconv.Itoa(node), Domain: "d", Inner: "n" + strconv.Itoa(node), Grace: 8 * time.Second},
-		intake.Ports{Direct: li, Sender: cl.sender, Engine: cl.engines, Dial: func(string) table.Client { return cl.rows }, Starter: cl.starter},
-		decoders(), core.SystemClock{}, log.NewNopLogger(), &meter.Set{},
+		intake.Ports{Direct: li, Sender: an, Engine: an, Departures: an.departures, Dial: func(string) table.Client { return cl.rows }, Starter: cl.starter},
+		cl.decoders(), core.SystemClock{}, log.NewNopLogger(), &meter.Set{},
 	)
 	ended := make(chan struct{})
 	go func() {
@@ -308,10 +371,11 @@
 		require.NoError(cl.t, en.Run())
 	}()
 	if node < len(cl.entries) {
-		cl.entries[node], cl.links[node], cl.ended[node] = en, li, ended
+		cl.entries[node], cl.clients[node], cl.links[node], cl.ended[node] = en, an, li, ended
 		return
 	}
-	cl.entries, cl.links, cl.ended = append(cl.entries, en), append(cl.links, li), append(cl.ended, ended)
+	cl.entries, cl.clients = append(cl.entries, en), append(cl.clients, an)
+	cl.links, cl.ended = append(cl.links, li), append(cl.ended, ended)
 }
 
 // stop kills all entries and waits for them to end.
@@ -370,3 +434,8 @@
 	}
 	require.Zero(cl.t, cl.engines.concurrent, "no item ran on two engines at the same time")
 }
+
+// target returns an incarnation of a target.
+func target(id string, startedAt int64) fleet.Target {
+	return fleet.Target{ID: id, StartedAt: startedAt}
+}
--- a/intake/follow.go
+++ b/intake/follow.go
@@ -147,9 +147,19 @@
 	en.fleet.RegistryUp(en.clock.Now())
 }
 
+// targetLeaves ends new work on a target that announced in a response that it leaves.
+// It returns once the forwarder chooses among the others.
+func (en *Entry) targetLeaves(ta fleet.Target) {
+	logs.Info(en.logger, "target leaves, it says", "id", ta.ID, "service", ta.Service, "addr", ta.Addr, "started", ta.StartedAt)
+	en.meters.Count("targets-leaving", ta.Service, 1)
+	en.publishTargets()
+}
+
 // publishTargets passes the targets, with their distances from this entry, to the
 // forwarder and the owner, which choose targets from them.
 func (en *Entry) publishTargets() {
+	en.publishing.Lock()
+	defer en.publishing.Unlock()
 	en.mutex.Lock()
 	all := en.fleet.All()
 	lo := fleet.Location{Region: en.settings.Region, Domain: en.settings.Domain, Regions: en.regions}
@@ -157,6 +167,7 @@
 	for at := range all {
 		all[at].Distance = lo.Distance(all[at].Domain)
 	}
+	en.departures.Mark(en.clock.Now(), all)
 	en.forwarder.Update(all)
 	en.owner.Update(all)
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -79,6 +79,11 @@
 	stop     context.CancelFunc
 	done     chan struct{}
 
+	departures *fleet.Departures
+	// publishing is held while the targets are published, so that an older list never
+	// replaces a newer one.
+	publishing sync.Mutex
+
 	mutex sync.Mutex
 	fleet fleet.Fleet
 	// malformed holds the ids of target rows that could not be decoded, so that each
@@ -103,6 +108,8 @@
 	// Streamer sends requests whose response is a stream of events.
 	Streamer calls.Streamer
 	Engine   runs.Engine
+	// Departures is where the clients above report the targets that leave.
+	Departures *fleet.Departures
 	// Dial returns a client that calls the store through the peer at an inner
 	// address.
 	Dial func(addr string) table.Client
@@ -124,18 +131,23 @@
 		settings: se, name: se.Node + "/" + strconv.FormatUint(rand.Uint64(), 36), clock: clock, logger: lg, meters: me,
 		decoders: de, index: batch.NewIndex(clock, lg), balancer: &calls.Balancer{}, loop: core.NewLoop(), dial: po.Dial, starter: po.Starter,
 		done: make(chan struct{}), malformed: map[string]bool{}, orphans: map[string]time.Time{}, peerClients: map[string]table.Client{},
-		losses: make(chan poison.Loss, maxQueuedLosses),
+		losses: make(chan poison.Loss, maxQueuedLosses), departures: po.Departures,
+	}
+	if en.departures == nil {
+		en.departures = &fleet.Departures{}
 	}
+	en.departures.OnAnnounced = en.targetLeaves
 	en.bodyMemory.Max = se.MaxBodyBytes
 	en.ctx, en.stop = context.WithCancel(context.Background())
 	en.store = &relay.Store{Direct: po.Direct, Peers: en.peers, Clock: clock, Logger: lg}
 	en.ledger = batch.Ledger{Store: en.store}
 	en.forwarder = &calls.Forwarder{
 		Sender: po.Sender, Streamer: po.Streamer, Clock: clock, Logger: lg, Meters: me, IntN: rand.IntN, Balancer: en.balancer, OnDeath: en.enqueueLoss,
+		Departures: en.departures,
 	}
 	en.owner = &runs.Owner{
 		Ledger: en.ledger, Index: en.index, Engine: po.Engine, Scorer: en,
-		Clock: clock, Logger: lg, Meters: me, Loop: en.loop,
+		Clock: clock, Logger: lg, Meters: me, Loop: en.loop, Departures: en.departures,
 	}
 	en.owner.Init(en.ctx)
 	return en
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -10,6 +10,7 @@
 
 	"bilberryshelf/batch"
 	"bilberryshelf/core"
+	"bilberryshelf/place"
 	"bilberryshelf/fake"
 	"bilberryshelf/intake"
 	"bilberryshelf/runs"
@@ -340,6 +341,20 @@
 	})
 }
 
+// The load pattern: the streams of all engines hang at once, and a step fills all slots, so
+// that no run can move. The runs are abandoned and the step completes.
+func TestReplayHangingStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1)
+		defer cl.stop()
+		cl.engines.hangFirst = true
+		jo := job("j1", 9)
+		require.Nil(t, cl.submit(0, jo))
+		time.Sleep(place.AbandonTimeout + 5*time.Second)
+		cl.requireComplete(0, jo)
+	})
+}
+
 // Events of a weight version that is too old for the job are not listed.
 func TestOldVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/loan/book.go
+++ b/loan/book.go
@@ -84,7 +84,7 @@
 	Targets    []Target `cbor:"3,keyasint"`
 	Loans      []Loan   `cbor:"4,keyasint"`
 	// Superseded holds the previous state of loans that were changed or removed within
-	// supersededRetention. It shows on which targets a key may have run.
+	// SupersededRetention. It shows on which targets a key may have run.
 	Superseded []Loan    `cbor:"6,keyasint"`
 	Versions   []Version `cbor:"5,keyasint"`
 }
@@ -160,9 +160,9 @@
 	return bo.WithLoans(loans, by, at), nil
 }
 
-// supersededRetention is how long the previous state of a changed or removed loan
+// SupersededRetention is how long the previous state of a changed or removed loan
 // stays in the book after its end.
-const supersededRetention = time.Hour
+const SupersededRetention = time.Hour
 
 // WithLoans returns a book with all loans replaced, as a sheet does. It sets the
 // revision of every changed loan and target to the next generation. The targets
@@ -200,7 +200,7 @@
 func (bo Book) supersededBy(next Book, changed map[string]bool, now time.Time) []Loan {
 	var superseded []Loan
 	for _, lo := range bo.Superseded {
-		if lo.Until.After(now.Add(-supersededRetention)) {
+		if lo.Until.After(now.Add(-SupersededRetention)) {
 			superseded = append(superseded, lo)
 		}
 	}
--- a/loan/codec.go
+++ b/loan/codec.go
@@ -3,10 +3,11 @@
 import (
 	"bytes"
 	"compress/gzip"
-	"io"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"bilberryshelf/limit"
 )
 
 // maxBookBytes limits the size of a decompressed book.
@@ -37,7 +38,7 @@
 	if err != nil {
 		return bo, errors.Wrap(err, "decompress the book")
 	}
-	plain, err := io.ReadAll(io.LimitReader(zr, maxBookBytes))
+	plain, err := limit.ReadAll(zr, maxBookBytes)
 	if err != nil {
 		return bo, errors.Wrap(err, "decompress the book")
 	}
--- a/order/order.go
+++ b/order/order.go
@@ -17,7 +17,7 @@
 //     an engine that has it loads when it is idle and no other engine is stale. The
 //     owner of the step empties engines for that. After StalePriorityTimeout a
 //     stale engine no longer delays the others: it, or its row, is cut off.
-//  5. An engine has at most one order in progress.
+//  5. An engine has at most one order in progress, and one that leaves gets none.
 package order
 
 import (
@@ -72,6 +72,8 @@
 	// Running and Waiting count the engine's runs.
 	Running int
 	Waiting int
+	// Leaving is set while the engine announces that it leaves.
+	Leaving bool
 }
 
 // Order asks an engine to load a version of a model.
@@ -119,7 +121,7 @@
 // Next returns the next order; due is false if none is to be sent now.
 func Next(sn Snapshot) (or Order, due bool) {
 	announced, loaded := sn.Announced[sn.Model], sn.Report.Versions[sn.Model]
-	if sn.Report.Busy || sn.Model == "" || announced <= loaded { // rule 5
+	if sn.Report.Busy || sn.Report.Leaving || sn.Model == "" || announced <= loaded { // rule 5
 		return Order{}, false
 	}
 	or = Order{Instance: sn.Report.Instance, Model: sn.Model, Version: announced, Mode: Wait, Accepted: sn.Report.Accepted}
--- a/place/move.go
+++ b/place/move.go
@@ -12,6 +12,9 @@
 	// FirstEventTimeout is the longest time until the first event. It includes
 	// reading the prompt and possibly a load of weights.
 	FirstEventTimeout = 700 * time.Millisecond
+	// AbandonTimeout is the time without an event after which a run ends even if no
+	// other engine has a free slot: twice the longest load of weights.
+	AbandonTimeout = 9 * time.Second
 )
 
 // Reason is why a run should move to another engine.
--- a/place/place.go
+++ b/place/place.go
@@ -34,7 +34,8 @@
 //  7. A run should move to a fast engine when its own engine is slow, is emptied
 //     or loads weights, or when it has produced no event for StallTimeout. The
 //     text generated so far is kept. The run is queued by rule 1 and continues on
-//     its engine until the item is assigned to another one.
+//     its engine until the item is assigned to another one, at most until it has
+//     produced no event for AbandonTimeout.
 //  8. Engines that serve another model are used only if no engine of the item's
 //     own model can serve it: the owners of that model's jobs plan with their
 //     slots and empty them for loads.
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -19,7 +19,7 @@
 
 // NewClient returns a client of the peer at an inner address, host and port.
 func NewClient(doer *http.Client, addr string) *Client {
-	return &Client{client: wireconnect.NewTableServiceClient(doer, "http://"+addr)}
+	return &Client{client: wireconnect.NewTableServiceClient(doer, "http://"+addr, connect.WithReadMaxBytes(wire.MaxMessageBytes))}
 }
 
 // Commit writes a transaction through the peer.
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -83,6 +83,8 @@
 	Logger log.Logger
 	Meters *meter.Set
 	Loop   *core.Loop
+	// Departures holds the targets that announced that they leave; nil means none.
+	Departures *fleet.Departures
 
 	ctx         context.Context
 	jobs        map[string]*job
@@ -167,6 +169,7 @@
 func (ow *Owner) check() {
 	now := ow.Clock.Now()
 	ow.updatePaces(now)
+	ow.abandonStalled(now)
 	for _, jo := range ow.jobs {
 		ow.applyHead(jo)
 	}
--- a/runs/step.go
+++ b/runs/step.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bilberryshelf/batch"
+	"bilberryshelf/fleet"
 	"bilberryshelf/logs"
 	"bilberryshelf/place"
 )
@@ -36,6 +37,23 @@
 	}
 }
 
+// abandonStalled cancels the runs that have produced no event for too long. Their items
+// wait for an engine again.
+func (ow *Owner) abandonStalled(now time.Time) {
+	for _, en := range ow.engines {
+		for ru := range en.runs {
+			last, _, _ := ru.progress()
+			if silent := now.Sub(last); silent > place.AbandonTimeout && !ru.superseded {
+				ru.superseded, ru.item.avoid = true, en.target.ID
+				ru.cancel()
+				ow.Meters.Count("runs-abandoned", en.target.Service, 1)
+				logs.Warn(ow.Logger, "run abandoned", "job", ru.job.body.ID, "id", ru.item.item.ID, "engine", en.target.ID,
+					"silent", silent, "events", ru.item.eventCount())
+			}
+		}
+	}
+}
+
 // place schedules a pass that assigns waiting items to engines. Calls before the
 // pass are coalesced. If the queue of the loop is full, the next periodic check
 // places the items.
@@ -139,17 +157,25 @@
 	en.running++
 	en.runs[ru] = true
 	en.groups[it.item.Group]++
-	rq := Request{Job: jo.body, Item: it.item, After: len(it.events)}
+	rq, target := Request{Job: jo.body, Item: it.item, After: len(it.events)}, en.target
 	logs.Info(ow.Logger, "run begun", "job", jo.body.ID, "id", it.item.ID, "engine", en.target.ID, "after", rq.After,
 		"version", en.version(jo.body.Model), "running", en.running, "pace", en.pace)
 	ow.Meters.Count("runs-begun", jo.route.Name, 1)
 	go func() {
-		out := ow.Engine.Run(ctx, en.target, rq, func(ev Event) { ru.add(ow.Clock.Now(), ev) })
+		out := ow.run(ctx, target, rq, func(ev Event) { ru.add(ow.Clock.Now(), ev) })
 		cancel()
 		ow.Loop.Post(func() { ow.runEnded(ru, out) })
 	}()
 }
 
+// run runs an item, unless its engine announced since it was chosen that it leaves.
+func (ow *Owner) run(ctx context.Context, ta fleet.Target, rq Request, event func(Event)) Outcome {
+	if ow.Departures.Departing(ta) {
+		return Outcome{Ending: Refused, Detail: "the target is leaving"}
+	}
+	return ow.Engine.Run(ctx, ta, rq, event)
+}
+
 // emptyEngines selects the engines to empty for a load of weights. It does nothing
 // while an item of the job waits.
 func (ow *Owner) emptyEngines(now time.Time, jo *job) {
--- a/setup/check.go
+++ b/setup/check.go
@@ -10,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
+
+	"bilberryshelf/loan"
 )
 
 // Fault describes one error in a settings file. Line counts from 1.
@@ -175,6 +177,13 @@
 	return ch.faults
 }
 
+// keyHold requires that the target that a key ran on is known for as long as the key is
+// remembered.
+func (ch *checker) keyHold(hold Duration) {
+	ch.require(hold.Std() <= loan.SupersededRetention, "timing.key-hold",
+		fmt.Sprintf("must be at most %v, since removed targets are forgotten then", loan.SupersededRetention))
+}
+
 func (pl Place) check(ch *checker) {
 	ch.require(pl.Region != "", "place.region", "is missing; set it to the region of the instance")
 	ch.require(pl.FailureDomain != "", "place.failure-domain", "is missing; set it to the failure domain of the instance")
@@ -228,6 +237,7 @@
 	ch.require(en.Timing.ListEvery > 0, "timing.list-every", "must be more than 0s")
 	ch.require(en.Timing.StartWithin > 0, "timing.start-within", "must be more than 0s")
 	ch.require(en.Timing.KeyHold > en.Timing.StartWithin, "timing.key-hold", "must be longer than start-within")
+	ch.keyHold(en.Timing.KeyHold)
 	ch.require(en.Sample.Window > 0, "sample.window", "must be 1 or more")
 	ch.require(en.Sample.ExtraShare >= 0 && en.Sample.ExtraShare <= 1, "sample.extra-share", "must be from 0 to 1")
 }
@@ -245,6 +255,9 @@
 	ch.require(gu.Limits.LoadShare >= 0 && gu.Limits.LoadShare <= 1, "limits.load-share", "must be from 0 to 1")
 	ch.require(gu.Timing.Grace > 0, "timing.grace", "must be more than 0s")
 	ch.require(gu.Timing.HealthEvery > 0, "timing.health-every", "must be more than 0s")
+	ch.require(gu.Timing.HealthTimeout > 0, "timing.health-timeout", "must be more than 0s")
+	ch.require(gu.Timing.LongestOrder > 0, "timing.longest-order", "must be more than 0s")
+	ch.keyHold(gu.Timing.KeyHold)
 	ch.require(gu.Timing.DrainNotice >= 0, "timing.drain-notice", "must be 0s or more")
 	ch.require(gu.Timing.LongestRun > 0, "timing.longest-run", "must be more than 0s")
 }
--- a/setup/node.go
+++ b/setup/node.go
@@ -10,6 +10,7 @@
 	Instance Instance   `toml:"instance"`
 	Engine   NodeEngine `toml:"engine"`
 	Timing   NodeTiming `toml:"timing"`
+	Limits   NodeLimits `toml:"limits"`
 }
 
 // NodeListen holds the addresses on which a process serves requests. A guard serves only
@@ -44,6 +45,46 @@
 	Grace Duration `toml:"grace"`
 }
 
+// NodeLimits holds the largest sizes that are read of responses of targets and of the
+// store, so that one that sends without end costs bounded memory. A missing limit has the
+// default that OPERATIONS.md lists.
+type NodeLimits struct {
+	// MaxHead is the largest head of a response.
+	MaxHead Size `toml:"max-head"`
+	// MaxBody is the largest body of a response to a plain request.
+	MaxBody Size `toml:"max-body"`
+	// MaxEvent is the largest event of a stream, MaxText the largest text of an item.
+	MaxEvent Size `toml:"max-event"`
+	MaxText  Size `toml:"max-text"`
+	// MaxPage is the largest response of the store.
+	MaxPage Size `toml:"max-page"`
+}
+
+// The least permitted limits: below them, proper responses would be refused. A page of the
+// store has 1 MB of values.
+const (
+	minMaxHead  Size = 4 << 10
+	minMaxBody  Size = 64 << 10
+	minMaxEvent Size = 4 << 10
+	minMaxText  Size = 64 << 10
+	minMaxPage  Size = 2 << 20
+)
+
+func (no NodeLimits) check(ch *checker) {
+	for _, li := range []struct {
+		key       string
+		got, from Size
+	}{
+		{"limits.max-head", no.MaxHead, minMaxHead},
+		{"limits.max-body", no.MaxBody, minMaxBody},
+		{"limits.max-event", no.MaxEvent, minMaxEvent},
+		{"limits.max-text", no.MaxText, minMaxText},
+		{"limits.max-page", no.MaxPage, minMaxPage},
+	} {
+		ch.require(li.got == 0 || li.got >= li.from, li.key, "must be at least "+li.from.String())
+	}
+}
+
 // ReadNodeEntry reads and checks the settings of an entry on the platform.
 func ReadNodeEntry(file string) (NodeSettings, error) {
 	return readNode(file, func(no NodeSettings, ch *checker) {
@@ -74,6 +115,7 @@
 	ch.require(no.Instance.Memory > 0, "instance.memory", "must be more than 0B")
 	ch.require(no.Instance.Cores > 0, "instance.cores", "must be more than 0")
 	ch.require(no.Timing.Grace > 0, "timing.grace", "must be more than 0s")
+	no.Limits.check(ch)
 	check(no, ch)
 	return no, ch.result()
 }
--- a/setup/node_test.go
+++ b/setup/node_test.go
@@ -54,6 +54,8 @@
 		{"cores = 0.8", "cores = 0.0", "instance.cores"},
 		{`grace = "8s"`, `grace = "0s"`, "timing.grace"},
 		{"[timing]", "[times]", "times"},
+		{"[timing]", "[limits]\nmax-head = \"1KiB\"\n[timing]", "limits.max-head: must be at least 4KiB"},
+		{"[timing]", "[limits]\nmax-page = \"1MiB\"\n[timing]", "limits.max-page: must be at least 2MiB"},
 	} {
 		_, err := setup.ReadNodeEntry(render(t, "entry.toml.tmpl", tc.old, tc.new))
 		require.ErrorContains(t, err, tc.key)
--- a/setup/setup_test.go
+++ b/setup/setup_test.go
@@ -70,6 +70,8 @@
 		{"empty token", `token = "secret"`, `token-env = "BILBERRYSHELF_NOT_SET"`, 20, "tokens[0].token", "empty"},
 		{"not a URL", `"http://10.0.0.9:9100"`, `"10.0.0.9"`, 10, "platform.tables-url", "http://"},
 		{"zero duration", `"500ms"`, `"0s"`, 18, "timing.hello-every", "more than 0s"},
+		{"keys remembered longer than removed targets", `hello-every = "500ms"`, `key-hold = "61m"`, 18, "timing.key-hold", "1h0m0s"},
+		{"a size beyond 64 bits", `"2MiB"`, `"9000000000000GiB"`, 15, "max-body", "64KiB"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			require.Contains(t, goodEntry, tc.from)
@@ -96,12 +98,25 @@
 	require.Greater(t, len(faults), 5)
 }
 
+// A timeout of zero would let each call time out, or each order count as done at once.
+func TestGuardTimeouts(t *testing.T) {
+	for _, key := range []string{"health-timeout", "longest-order"} {
+		_, err := setup.ReadGuard(write(t, "[timing]\n"+key+" = '0s'\n"))
+		require.ErrorContains(t, err, ":2: timing."+key+": must be more than 0s")
+	}
+	_, err := setup.ReadGuard(write(t, "[timing]\nkey-hold = '2h'\n"))
+	require.ErrorContains(t, err, ":2: timing.key-hold: must be at most 1h0m0s")
+}
+
 func TestSizes(t *testing.T) {
 	for text, bytes := range map[string]setup.Size{"512B": 512, "64KiB": 65536, "8MiB": 8 << 20, "1GiB": 1 << 30} {
 		var si setup.Size
 		require.NoError(t, si.UnmarshalText([]byte(text)))
 		require.Equal(t, bytes, si)
+		require.Equal(t, text, si.String())
 	}
+	require.Equal(t, "1500B", setup.Size(1500).String())
+	require.Equal(t, "0B", setup.Size(0).String())
 	var si setup.Size
 	require.Error(t, si.UnmarshalText([]byte("-1B")))
 }
--- a/setup/value.go
+++ b/setup/value.go
@@ -1,6 +1,7 @@
 package setup
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -46,7 +47,7 @@
 			continue
 		}
 		count, err := strconv.ParseInt(strings.TrimSpace(digits), 10, 64)
-		if err != nil || count < 0 {
+		if err != nil || count < 0 || count > math.MaxInt64/un.bytes {
 			break
 		}
 		*si = Size(count * un.bytes)
@@ -55,7 +56,16 @@
 	return errors.Newf("%q is not a size such as 512B, 64KiB or 8MiB", text)
 }
 
-// MarshalText formats the size in bytes.
-func (si Size) MarshalText() ([]byte, error) {
-	return []byte(strconv.FormatInt(int64(si), 10) + "B"), nil
+// String formats the size in the largest unit that gives a whole number.
+func (si Size) String() string {
+	best := sizeUnits[len(sizeUnits)-1]
+	for _, un := range sizeUnits {
+		if un.bytes > best.bytes && si != 0 && int64(si)%un.bytes == 0 {
+			best = un
+		}
+	}
+	return strconv.FormatInt(int64(si)/best.bytes, 10) + best.suffix
 }
+
+// MarshalText formats the size as String does.
+func (si Size) MarshalText() ([]byte, error) { return []byte(si.String()), nil }
--- a/store/object.go
+++ b/store/object.go
@@ -3,12 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"io"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	"github.com/aws/aws-sdk-go-v2/service/s3/types"
 	"github.com/cockroachdb/errors"
+
+	"bilberryshelf/limit"
 )
 
 // Objects is a client of one bucket of the platform's object store.
@@ -31,6 +32,9 @@
 	})}
 }
 
+// maxObjectBytes is the largest object that is read: a book, or the keys of a guard.
+const maxObjectBytes = 64 << 20
+
 // Write stores an object and replaces an earlier one.
 func (ob *Objects) Write(ctx context.Context, key string, body []byte) error {
 	_, err := ob.client.PutObject(ctx, &s3.PutObjectInput{
@@ -50,6 +54,6 @@
 		return nil, errors.Wrapf(err, "read object %s", key)
 	}
 	defer out.Body.Close() // the body has been read; a failed close loses nothing
-	body, err := io.ReadAll(out.Body)
+	body, err := limit.ReadAll(out.Body, maxObjectBytes)
 	return body, errors.Wrapf(err, "read object %s", key)
 }
--- a/subcmd/node.go
+++ b/subcmd/node.go
@@ -35,6 +35,7 @@
 		return withExitCode(ExitUsage, err)
 	}
 	lg = log.With(lg, "node", se.Name)
+	logs.RedirectStandard(lg)
 	logs.Info(lg, "starting", "domain", se.Place.FailureDomain, "memory", int64(se.Instance.Memory), "cores", se.Instance.Cores)
 	hups := make(chan os.Signal, 1)
 	signal.Notify(hups, syscall.SIGHUP)
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -14,8 +14,15 @@
 // DispatchType is the content type of a stream of frames.
 const DispatchType = "application/x-protobuf-delimited"
 
-// maxFrameBytes is the maximum size of one frame.
-const maxFrameBytes = 64 << 20
+const (
+	// maxFrameBytes is the maximum size of one frame, which holds at most a stored answer.
+	maxFrameBytes = 16 << 20
+	// MaxMessageBytes is the maximum size of a message between entries and guards. The
+	// largest is a job that is handed over with its body.
+	MaxMessageBytes = 64 << 20
+	// MaxHeadBytes is the maximum size of the head of a response between them.
+	MaxHeadBytes = 64 << 10
+)
 
 // FrameWriter writes frames to an HTTP response.
 type FrameWriter struct {
