--- a/calls/calls.go
+++ b/calls/calls.go
@@ -125,10 +125,12 @@
 
 // attempts is the state of one request.
 type attempts struct {
-	fo       *Forwarder
-	re       Request
-	service  string
-	digest   uint64
+	fo      *Forwarder
+	re      Request
+	service string
+	digest  uint64
+	// asked are the targets of all attempts, tried those that must not be chosen again.
+	asked    []string
 	tried    []string
 	results  chan outcome
 	inFlight int
@@ -167,7 +169,7 @@
 	fo, route := at.fo, at.re.Route.Name
 	fo.Meters.Observe("request", route, took)
 	fields := append([]any{
-		"id", at.re.ID, "route", route, "targets", strings.Join(at.tried, ","), "refused-by", at.refused, "took", took,
+		"id", at.re.ID, "route", route, "targets", strings.Join(at.asked, ","), "refused-by", at.refused, "took", took,
 	}, more...)
 	if err == nil {
 		fo.Meters.Count("requests-answered", route, 1)
@@ -228,7 +230,7 @@
 	if !found {
 		return fleet.Target{}, false
 	}
-	at.tried = append(at.tried, ta.ID)
+	at.tried, at.asked = append(at.tried, ta.ID), append(at.asked, ta.ID)
 	at.sent++
 	fo.Balancer.begin(ta.ID)
 	return ta, true
@@ -262,8 +264,8 @@
 // send sends a request, unless its target announced since it was chosen that it leaves
 // (rule 10).
 func (fo *Forwarder) send(ctx context.Context, ta fleet.Target, re Request) (Response, error) {
-	if fo.Departures.Departing(ta) {
-		return Response{}, leavingError(ta)
+	if err := fo.checkSend(ta, re); err != nil {
+		return Response{}, err
 	}
 	res, err := fo.Sender.Send(ctx, ta, re)
 	fo.recordTooLarge(re, ta, err)
@@ -274,16 +276,25 @@
 func (fo *Forwarder) stream(ctx context.Context, ta fleet.Target, re Request, after int,
 	begin func(rs Response) error, event func(id int, raw []byte) error,
 ) error {
-	if fo.Departures.Departing(ta) {
-		return leavingError(ta)
+	if err := fo.checkSend(ta, re); err != nil {
+		return err
 	}
 	err := fo.Streamer.Stream(ctx, ta, re, after, begin, event)
 	fo.recordTooLarge(re, ta, err)
 	return err
 }
 
-func leavingError(ta fleet.Target) error {
-	return core.Refuse(core.CodeDraining, "target %s is leaving", ta.ID)
+// checkSend checks right before a request is sent what may have changed since its target
+// was chosen: the process may have been paused in between.
+func (fo *Forwarder) checkSend(ta fleet.Target, re Request) error {
+	switch {
+	case fo.Departures.Departing(ta):
+		return core.Refuse(core.CodeDraining, "target %s is leaving", ta.ID)
+	case !fo.Clock.Now().Before(re.Deadline):
+		return core.Refuse(core.CodeDeadline, "deadline exceeded before the request was sent to target %s", ta.ID)
+	default:
+		return nil
+	}
 }
 
 // recordTooLarge logs and counts a response that exceeded the limits on its size.
--- a/calls/departure_test.go
+++ b/calls/departure_test.go
@@ -91,4 +91,52 @@
 	})
 }
 
-var _ calls.Sender = (*fakeTargets)(nil)
+// pausedClock is a clock that jumps ahead after the given number of readings, as that of
+// a process that is paused there.
+type pausedClock struct {
+	core.SystemClock
+	readings int
+}
+
+func (pc *pausedClock) Now() time.Time {
+	if pc.readings--; pc.readings < 0 {
+		return time.Now().Add(10 * time.Second)
+	}
+	return time.Now()
+}
+
+// pauseRecorder is a Sender that counts the requests sent after the clock has jumped.
+type pauseRecorder struct {
+	clock      *pausedClock
+	sent, late int
+}
+
+func (pr *pauseRecorder) Send(context.Context, fleet.Target, calls.Request) (calls.Response, error) {
+	pr.sent++
+	if pr.clock.readings < 0 {
+		pr.late++
+	}
+	return calls.Response{Status: 200}, nil
+}
+
+// A process that is paused between any two of its steps must not send a request whose
+// deadline has passed meanwhile.
+func TestPauseBeforeSending(t *testing.T) {
+	sent := 0
+	for readings := range 12 {
+		synctest.Test(t, func(t *testing.T) {
+			fo := newForwarder(&fakeTargets{}, 3)
+			clock := &pausedClock{readings: readings}
+			pr := &pauseRecorder{clock: clock}
+			fo.Clock, fo.Sender = clock, pr
+			_, err := fo.Do(context.Background(), request(conf.NonIdempotent, 2*time.Second))
+			require.Zero(t, pr.late, "paused after %d readings of the clock", readings)
+			if pr.sent == 0 {
+				require.Equal(t, core.NotRun, err.Verdict)
+			}
+			sent += pr.sent
+		})
+	}
+	require.Positive(t, sent)
+	require.Less(t, sent, 12)
+}
--- a/calls/stream.go
+++ b/calls/stream.go
@@ -165,6 +165,9 @@
 	if err != nil && stalled.Load() {
 		err = core.InDoubt(core.CodeTargetLost, "target %s sent no event on the stream within the time limit", ta.ID)
 	}
+	if first == 0 { // a stream without events was answered when it ended
+		first = fo.Clock.Now().Sub(began)
+	}
 	ou := outcome{target: ta, err: core.AsError(err), took: first}
 	canceled := callerDisconnected(ou.err) || (ctx.Err() != nil && !stalled.Load())
 	fo.Balancer.end(fo.Clock.Now(), ta.ID, ou, canceled)
--- a/calls/stream_test.go
+++ b/calls/stream_test.go
@@ -1,6 +1,7 @@
 package calls_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"strings"
@@ -8,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
 	"bilberryshelf/calls"
@@ -73,6 +75,22 @@
 	return nil
 }
 
+// The log and the latency of a stream cover all its attempts: the targets that were asked
+// before it was resumed, and one whose response had no events.
+func TestStreamRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		cut, full := core.InDoubt(core.CodeAnswerCut, "cut"), core.Refuse(core.CodeFull, "full")
+		sr := &fakeStreamer{attempts: []streamAttempt{{events: 1, err: cut}, {err: full}, {err: full}, {err: full}, {err: full}, {events: 1}}}
+		fo := newForwarder(&fakeTargets{}, 6)
+		fo.Streamer, fo.Logger = sr, log.NewLogfmtLogger(&out)
+		re := request(conf.Stream, 10*time.Second)
+		re.Route.Resumable, re.Route.Timeout = true, 2*time.Second
+		require.Nil(t, fo.Stream(context.Background(), re, &sink{}))
+		require.Contains(t, out.String(), "targets="+strings.Join(sr.requested, ","))
+	})
+}
+
 // sink collects the events of a stream and disconnects after disconnectAfter of them, if set.
 type sink struct {
 	text            strings.Builder
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -94,10 +94,9 @@
 
 // Limits bounds what a caller may send. Sizes are in bytes.
 type Limits struct {
-	MaxHeader     int
-	MaxBody       int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	MaxHeader   int
+	MaxBody     int
+	IdleTimeout time.Duration
 }
 
 // Config is one version of the configuration.
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -81,3 +81,18 @@
 	<-lo.Done()
 	require.Positive(t, refused)
 }
+
+// A function that ran counts as run, also if the loop stopped right after it.
+func TestDoWhileTheLoopStops(t *testing.T) {
+	for range 500 {
+		lo, stop := core.NewLoop(), make(chan struct{})
+		go lo.Run(stop)
+		ran := false
+		did := lo.Do(func() {
+			ran = true
+			close(stop)
+		})
+		<-lo.Done()
+		require.Equal(t, ran, did)
+	}
+}
--- a/core/error.go
+++ b/core/error.go
@@ -17,6 +17,7 @@
 	CodeUnauthorized     Code = "unauthorized"
 	CodeForbidden        Code = "forbidden"
 	CodeTooLarge         Code = "too-large"
+	CodeHeaderTooLarge   Code = "header-too-large"
 	CodeUnknownService   Code = "unknown-service"
 	CodeNoLoan           Code = "no-loan"
 	CodeLoanEnding       Code = "loan-ending"
--- a/core/loop.go
+++ b/core/loop.go
@@ -45,6 +45,11 @@
 	case <-ended:
 		return true
 	case <-lo.done:
+	}
+	select {
+	case <-ended: // the loop stopped right after the call
+		return true
+	default:
 		return false
 	}
 }
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -24,9 +24,17 @@
 	Done bool
 }
 
-// Parser splits a completions stream into events. The zero value is ready to use.
+// MaxEvent is the largest size of an event, in bytes.
+const MaxEvent = 1 << 20
+
+// Parser splits a completions stream into events. The zero value is ready to use. An event
+// larger than MaxEvent ends the stream with an Event whose Failed is set, so that an engine
+// that sends without end costs bounded memory.
 type Parser struct {
 	pending []byte
+	// searched is the number of pending bytes in which no event ends.
+	searched int
+	overflow bool
 }
 
 type choice struct {
@@ -51,21 +59,31 @@
 
 // Feed appends the next bytes of the stream and returns the events that they complete.
 func (pa *Parser) Feed(raw []byte) []Event {
+	if pa.overflow {
+		return nil
+	}
 	pa.pending = append(pa.pending, raw...)
 	var events []Event
 	for {
-		end := bytes.Index(pa.pending, eventEnd)
+		end := bytes.Index(pa.pending[pa.searched:], eventEnd)
 		if end < 0 {
-			return events
+			break
 		}
-		event := bytes.Clone(pa.pending[:end+len(eventEnd)])
-		pa.pending = pa.pending[end+len(eventEnd):]
+		end += pa.searched + len(eventEnd)
+		event := bytes.Clone(pa.pending[:end])
+		pa.pending, pa.searched = pa.pending[end:], 0
 		events = append(events, parseEvent(event))
 	}
+	pa.searched = max(len(pa.pending)-len(eventEnd)+1, 0)
+	if len(pa.pending) > MaxEvent {
+		pa.pending, pa.overflow = nil, true
+		events = append(events, Event{Failed: true})
+	}
+	return events
 }
 
 // AtEventEnd reports whether the bytes so far end with a complete event.
-func (pa *Parser) AtEventEnd() bool { return len(bytes.TrimSpace(pa.pending)) == 0 }
+func (pa *Parser) AtEventEnd() bool { return !pa.overflow && len(bytes.TrimSpace(pa.pending)) == 0 }
 
 func parseEvent(raw []byte) Event {
 	ev := Event{Raw: raw}
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -34,3 +35,21 @@
 	require.Empty(t, pa.Feed([]byte(raw[:20])))
 	require.False(t, pa.AtEventEnd())
 }
+
+// An event without an end fails the stream, and the parser keeps nothing of it.
+func TestEndlessEvent(t *testing.T) {
+	var (
+		pa     engine.Parser
+		failed int
+	)
+	chunk := []byte(strings.Repeat("x", 1000))
+	for range 3 * engine.MaxEvent / len(chunk) {
+		for _, ev := range pa.Feed(chunk) {
+			require.True(t, ev.Failed)
+			failed++
+		}
+	}
+	require.Equal(t, 1, failed)
+	require.False(t, pa.AtEventEnd())
+	require.Empty(t, pa.Feed([]byte("data: [DONE]\n\n")), "what follows belongs to no event")
+}
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -110,7 +110,7 @@
 func (en *Entry) sampleRequest(sp sample.Spec, jo sample.Job, lo loan.Loan, body []byte) *request {
 	const path = "/v1/completions"
 	deadline := en.clock.Now().Add(sampleTimeout)
-	if !sp.Deadline.IsZero() && sp.Deadline.Before(deadline) && sp.Deadline.After(en.clock.Now()) {
+	if !sp.Deadline.IsZero() && sp.Deadline.Before(deadline) {
 		deadline = sp.Deadline
 	}
 	return &request{
@@ -156,7 +156,8 @@
 			return core.InDoubt(core.CodeAnswerCut, "the engine ended its stream with an error")
 		}
 		tr.text.WriteString(ev.Text)
-		if tr.tokens += ev.Tokens; ev.Tokens > 0 && tr.tokens%progressInterval == 0 {
+		before := tr.tokens
+		if tr.tokens += ev.Tokens; tr.tokens/progressInterval > before/progressInterval {
 			tr.onProgress(tr.tokens)
 		}
 		tr.ended = tr.ended || ev.Done
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -30,10 +31,7 @@
 	if name == "" || name == en.settings.Name || en.peers[name] == addr {
 		return
 	}
-	next := make(map[string]string, len(en.peers)+1)
-	for na, ad := range en.peers {
-		next[na] = ad
-	}
+	next := maps.Clone(en.peers)
 	next[name] = addr
 	en.peers = next
 	en.setPeers()
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -130,16 +131,20 @@
 	})
 }
 
+// updatePeers adds the listed entries and removes those that drain. Views share the map, so
+// it is replaced instead of modified.
 func (en *Entry) updatePeers() {
+	next := maps.Clone(en.peers)
 	for _, in := range en.instances {
-		if in.Role == store.RoleEntry && in.Name != en.settings.Name {
-			if in.State == core.Draining {
-				delete(en.peers, in.Name)
-				continue
-			}
-			en.addPeer(in.Name, in.Addr)
+		switch {
+		case in.Role != store.RoleEntry || in.Name == "" || in.Name == en.settings.Name:
+		case in.State == core.Draining:
+			delete(next, in.Name)
+		default:
+			next[in.Name] = in.Addr
 		}
 	}
+	en.peers = next
 	en.setPeers()
 }
 
--- a/guard/admit.go
+++ b/guard/admit.go
@@ -153,7 +153,7 @@
 		sample: req.Sample, started: now, done: make(chan struct{}),
 	}
 	if req.Sample {
-		ru.check = gu.versions.versionCheck()
+		ru.check = gu.versions.versionCheck(gu.settings.Engine.LateReports)
 	}
 	gu.running[ti.ID] = ru
 	gu.runsPerLoan[req.Loan]++
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -155,11 +155,7 @@
 	if err != nil {
 		return nil, core.Refuse(core.CodeBadRequest, "%v", err)
 	}
-	client := gu.unpooled
-	if req.Idempotent {
-		client = gu.pooled
-	}
-	res, err := client.Do(hr)
+	res, err := gu.forwarder.Do(hr)
 	if err != nil {
 		return nil, gu.sendError(err)
 	}
@@ -242,6 +238,8 @@
 	parser      engine.Parser
 	segments    []*wire.Segment
 	streamEnded bool
+	// streamFailed is set if an event reports an error, or has no end.
+	streamFailed bool
 }
 
 func (af *answerForwarder) send(frame *wire.DispatchFrame) {
@@ -268,7 +266,10 @@
 			af.forwardChunk(buf[:filled])
 			filled = 0
 		}
-		if ended {
+		switch {
+		case af.streamFailed:
+			return errors.New("the engine reported an error, or an event is too large")
+		case ended:
 			return nil
 		}
 	}
@@ -325,7 +326,7 @@
 // tokens of the same version form one segment.
 func (af *answerForwarder) recordVersions(events []engine.Event) {
 	for _, ev := range events {
-		af.streamEnded = af.streamEnded || ev.Done
+		af.streamEnded, af.streamFailed = af.streamEnded || ev.Done, af.streamFailed || ev.Failed
 		if ev.Tokens == 0 {
 			continue
 		}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -49,14 +49,15 @@
 	tables   Table
 	objects  Objects
 	target   engine.Client
-	// pooled reuses connections to the target. unpooled opens a connection for each
-	// request, because net/http may send a request a second time when a reused
-	// connection is found to be closed.
-	pooled   *http.Client
-	unpooled *http.Client
-	loop     *core.Loop
-	stop     chan struct{}
-	done     chan struct{}
+	// control reuses connections to the target, for health checks and orders. forwarder
+	// opens a connection for each request: net/http may send a request a second time when
+	// a reused connection is found to be closed, and a target may send an extra response
+	// late, on a connection that is in use again, where nothing tells it from the next one.
+	control   *http.Client
+	forwarder *http.Client
+	loop      *core.Loop
+	stop      chan struct{}
+	done      chan struct{}
 
 	state
 }
@@ -105,18 +106,18 @@
 func New(se setup.Guard, cl core.Clock, lg log.Logger, me *meter.Set, tables Table, objects Objects) *Guard {
 	// The transports need no timeouts of their own: the context of every call has a time
 	// limit from the settings, which were validated.
-	pooled := &http.Transport{MaxIdleConnsPerHost: se.Limits.Capacity + 1, DisableCompression: true, MaxResponseHeaderBytes: wire.MaxHeadBytes}
-	unpooled := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: wire.MaxHeadBytes}
+	control := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: wire.MaxHeadBytes}
+	forward := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: wire.MaxHeadBytes}
 	gu := &Guard{
 		settings: se, clock: cl, meters: me, tables: tables, objects: objects,
-		logger:   log.With(lg, "target", se.Target),
-		pooled:   &http.Client{Transport: pooled},
-		unpooled: &http.Client{Transport: unpooled},
-		loop:     core.NewLoop(),
-		stop:     make(chan struct{}),
-		done:     make(chan struct{}),
+		logger:    log.With(lg, "target", se.Target),
+		control:   &http.Client{Transport: control},
+		forwarder: &http.Client{Transport: forward},
+		loop:      core.NewLoop(),
+		stop:      make(chan struct{}),
+		done:      make(chan struct{}),
 	}
-	gu.target = engine.Client{URL: se.Engine.URL, HTTP: gu.pooled}
+	gu.target = engine.Client{URL: se.Engine.URL, HTTP: gu.control}
 	gu.state = state{
 		phase:          core.Starting,
 		running:        map[core.AttemptID]*run{},
--- a/guard/versioncheck.go
+++ b/guard/versioncheck.go
@@ -16,7 +16,7 @@
 //  3. A replaced version stays allowed for transitTime, for tokens that were already on
 //     their way to the guard.
 //  4. For an engine that is known to report versions late, every sample that is in
-//     progress when an order starts is in doubt.
+//     progress while an order is, is in doubt.
 //
 // A sample in doubt gets no version labels.
 type versionCheck struct {
--- a/guard/versioncheck_test.go
+++ b/guard/versioncheck_test.go
@@ -47,3 +47,24 @@
 		})
 	}
 }
+
+// P1: an engine that reports versions late may name the old version for tokens of the new
+// one, also in a sample that begins while the order is in progress.
+func TestLateReports(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		ve      versions
+		late    bool
+		certain bool
+	}{
+		{"no order", versions{current: 1}, true, true},
+		{"during an order", versions{current: 1, pending: 2}, true, false},
+		{"during an order, reports in time", versions{current: 1, pending: 2}, false, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			vc := tc.ve.versionCheck(tc.late)
+			vc.observe(1, time.Unix(1000, 0))
+			require.Equal(t, tc.certain, vc.certain())
+		})
+	}
+}
--- a/guard/weights.go
+++ b/guard/weights.go
@@ -23,12 +23,16 @@
 }
 
 // versionCheck returns a check for a new sample that allows the versions that may
-// produce tokens now.
-func (ve *versions) versionCheck() *versionCheck {
+// produce tokens now. lateReports is set if the engine reports versions late: then a
+// sample that begins during an order is in doubt like those in progress at its start.
+func (ve *versions) versionCheck(lateReports bool) *versionCheck {
 	vc := &versionCheck{}
 	vc.allow(ve.current)
 	if ve.pending != 0 {
 		vc.allow(ve.pending)
+		if lateReports {
+			vc.markInDoubt()
+		}
 	}
 	return vc
 }
--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -119,13 +119,19 @@
 	// failing holds the ids of calls that are answered with status 500.
 	failing map[string]bool
 	calls   map[string]int
+	// delay is the time that a target takes, if it is not the usual one.
+	delay time.Duration
 	// crash is the body that crashes a target, empty for none; crashed is the target
 	// that crashed last.
 	crash, crashed string
 }
 
-func (se *sender) Send(_ context.Context, ta fleet.Target, re calls.Request) (calls.Response, error) {
-	time.Sleep(10 * time.Millisecond) // not under the lock: virtual time does not advance while a goroutine waits for a mutex
+func (se *sender) Send(ctx context.Context, ta fleet.Target, re calls.Request) (calls.Response, error) {
+	select { // not under the lock: virtual time does not advance while a goroutine waits for a mutex
+	case <-time.After(max(se.delay, 10*time.Millisecond)):
+	case <-ctx.Done():
+		return calls.Response{}, core.InDoubt(core.CodeTargetLost, "canceled")
+	}
 	se.mutex.Lock()
 	defer se.mutex.Unlock()
 	se.calls[re.ID]++
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -75,9 +75,11 @@
 	config   atomic.Pointer[conf.Config]
 	ready    atomic.Bool
 	stopping atomic.Bool
-	ctx      context.Context
-	stop     context.CancelFunc
-	done     chan struct{}
+	// endsAt is the time by which requests must be answered once the entry is stopping.
+	endsAt atomic.Pointer[time.Time]
+	ctx    context.Context
+	stop   context.CancelFunc
+	done   chan struct{}
 
 	departures *fleet.Departures
 	// publishing is held while the targets are published, so that an older list never
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,11 +12,13 @@
 	"github.com/stretchr/testify/require"
 
 	"bilberryshelf/batch"
+	"bilberryshelf/calls"
 	"bilberryshelf/core"
-	"bilberryshelf/place"
 	"bilberryshelf/fake"
 	"bilberryshelf/intake"
+	"bilberryshelf/place"
 	"bilberryshelf/runs"
+	"bilberryshelf/table"
 )
 
 func TestJobCompletes(t *testing.T) {
@@ -341,6 +346,64 @@
 	})
 }
 
+// A request that a stopping entry accepts gets an answer before the process is killed at the
+// end of its grace period, whenever it comes and however slow its target is.
+func TestStopAnswersLastRequests(t *testing.T) {
+	for _, delay := range []time.Duration{50 * time.Millisecond, 800 * time.Millisecond, 3 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			const grace = 8 * time.Second
+			cl := newCluster(t, 1)
+			defer cl.stop()
+			cl.sender.delay = delay
+			route, _, err := cl.entries[0].FindRoute("h", "/score/x")
+			require.Nil(t, err)
+			started := time.Now()
+			go cl.entries[0].Stop()
+			var group sync.WaitGroup
+			for at := range 78 { // up to 200 ms before the end
+				group.Go(func() {
+					time.Sleep(time.Duration(at) * 100 * time.Millisecond)
+					re := calls.Request{
+						ID: fmt.Sprint("c", at), Method: http.MethodPost, URI: "/score/x", Host: "h", Header: http.Header{}, Route: route, Deadline: time.Now().Add(2 * time.Second),
+					}
+					sent := time.Since(started)
+					_, failed := cl.entries[0].Call(context.Background(), re)
+					require.Less(t, time.Since(started), grace)
+					if sent+delay < grace-time.Second && delay < time.Second {
+						require.Nil(t, failed, "sent after %v", sent)
+					}
+				})
+			}
+			group.Wait()
+		})
+	}
+}
+
+// A head that lists results which are not there is reported as such, not as a read error
+// without a cause.
+func TestMissingResults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1)
+		defer cl.stop()
+		jo := job("j1", 1)
+		require.Nil(t, cl.submit(0, jo))
+		time.Sleep(5 * time.Second)
+		cl.requireComplete(0, jo)
+		ctx := context.Background()
+		page, err := cl.rows.List(ctx, table.Range{Table: batch.ResultTable, Part: batch.Part("j1")})
+		require.NoError(t, err)
+		var drops []table.ID
+		for _, ro := range page.Rows {
+			drops = append(drops, ro.ID)
+		}
+		_, err = cl.rows.Commit(ctx, table.Tx{Drops: drops})
+		require.NoError(t, err)
+		_, failed := cl.entries[0].Results(ctx, "j1", 2, 0)
+		require.NotNil(t, failed)
+		require.Equal(t, "the store lists no result from position 2 on, the head 4 in all", failed.Text)
+	})
+}
+
 // The load pattern: the streams of all engines hang at once, and a step fills all slots, so
 // that no run can move. The runs are abandoned and the step completes.
 func TestReplayHangingStreams(t *testing.T) {
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -159,8 +159,11 @@
 // readResults reads results from a position on, as many as fit a response.
 func (en *Entry) readResults(ctx context.Context, job string, from int, vh batch.VersionedHead) (batch.Listing, *core.Error) {
 	results, err := en.ledger.Results(ctx, job, from)
-	if err != nil || len(results) == 0 {
+	switch {
+	case err != nil:
 		return batch.Listing{}, core.Refuse(core.CodePlatformDown, "cannot read the results: %v", err).WithRetryAfter(storeRetryAfter)
+	case len(results) == 0:
+		return batch.Listing{}, core.Refuse(core.CodePlatformDown, "the store lists no result from position %d on, the head %d in all", from, vh.Head.Listed).WithRetryAfter(storeRetryAfter)
 	}
 	size := 0
 	for at, re := range results {
--- a/intake/retention.go
+++ b/intake/retention.go
@@ -19,8 +19,11 @@
 		if en.index.KnownFor(job) < JobRetention || en.routeOwner(vh.Head.Route).Name != en.name {
 			continue
 		}
-		err := en.ledger.Delete(ctx, job, vh)
-		logs.Info(en.logger, "deletion of an expired job", "id", job, "age", vh.Head.Age(en.clock.Now()), "listed", vh.Head.Listed, "err", err)
+		if err := en.ledger.Delete(ctx, job, vh); err != nil {
+			logs.Warn(en.logger, "expired job not deleted", "id", job, "err", err)
+			return
+		}
+		logs.Info(en.logger, "expired job deleted", "id", job, "age", vh.Head.Age(en.clock.Now()), "listed", vh.Head.Listed)
 		return
 	}
 }
--- a/intake/stop.go
+++ b/intake/stop.go
@@ -15,6 +15,10 @@
 	releaseBefore = 2500 * time.Millisecond
 	// stopBefore is how long before the end of the grace period the entry stops.
 	stopBefore = 900 * time.Millisecond
+	// answerBefore is how long before the end of the grace period the last requests are
+	// answered: a request that its target still runs then gets an error, since the process
+	// is killed soon.
+	answerBefore = 300 * time.Millisecond
 	// minDrainTime is the least time that an entry keeps serving after a stop signal:
 	// two readiness probes of the load balancer and the requests in flight.
 	minDrainTime = 3500 * time.Millisecond
@@ -31,6 +35,8 @@
 	}
 	logs.Info(en.logger, "stopping", "grace", en.settings.Grace)
 	started := en.clock.Now()
+	endsAt := started.Add(en.settings.Grace - answerBefore)
+	en.endsAt.Store(&endsAt)
 	elapsed := func() time.Duration { return en.clock.Now().Sub(started) }
 	for elapsed() < en.settings.Grace-releaseBefore {
 		if elapsed() >= minDrainTime && en.owner.Idle() {
--- a/poison/list.go
+++ b/poison/list.go
@@ -5,9 +5,10 @@
 //  3. A request that ran alone on a target that died is condemned: all entries refuse
 //     it at once with a final error, until the state expires.
 //  4. A suspect that ran alone and was answered is cleared.
-//  5. If two lists differ, condemned overrides cleared and cleared overrides suspect;
-//     for equal states the later expiry counts. If a target dies with a cleared
-//     request in progress, the request becomes a suspect again.
+//  5. If two lists differ, condemned overrides the other states. Of suspect and cleared,
+//     the one that expires later counts, since it is newer, and cleared if both expire
+//     at the same time. If a target dies with a cleared request in progress, the
+//     request becomes a suspect again, in every list.
 //
 // A harmless request that runs beside a crashing one is therefore never condemned, and
 // a crashing request takes down two targets: one shared with other requests, then one
@@ -113,10 +114,14 @@
 }
 
 func (re Report) overrides(other Report) bool {
-	if re.State != other.State {
+	switch {
+	case (re.State == Condemned) != (other.State == Condemned):
+		return re.State == Condemned
+	case !re.Expires.Equal(other.Expires):
+		return re.Expires.After(other.Expires)
+	default:
 		return re.State.rank() > other.State.rank()
 	}
-	return re.Expires.After(other.Expires)
 }
 
 func (li *List) put(re Report) {
--- a/poison/list_test.go
+++ b/poison/list_test.go
@@ -64,6 +64,25 @@
 	require.Zero(t, li.Merge(start, []poison.Report{{Digest: 1, State: "nonsense", Expires: until}, {Digest: 2, State: poison.Suspect, Expires: start.Add(-1)}}))
 }
 
+// A target that dies with a cleared request makes it a suspect again. An older report of
+// another list, which still has it as cleared, must not undo that, in either order.
+func TestNewerSuspicionCounts(t *testing.T) {
+	cleared := poison.Report{Digest: 1, State: poison.Cleared, Expires: start.Add(time.Minute)}
+	suspect := poison.Report{Digest: 1, State: poison.Suspect, Expires: start.Add(time.Minute + time.Second)}
+	for _, reports := range [][]poison.Report{{cleared, suspect}, {suspect, cleared}} {
+		li := newList()
+		for _, re := range reports {
+			li.Merge(start, []poison.Report{re})
+		}
+		require.Equal(t, poison.Suspect, li.Lookup(start, 1))
+	}
+	cleared.Expires = start.Add(time.Minute + 2*time.Second)
+	li := newList()
+	li.Merge(start, []poison.Report{suspect})
+	li.Merge(start, []poison.Report{cleared})
+	require.Equal(t, poison.Cleared, li.Lookup(start, 1), "it ran alone later and was answered")
+}
+
 // A full list drops the states that expire first.
 func TestBound(t *testing.T) {
 	li := &poison.List{TTL: time.Minute, Max: 3}
--- a/sample/step.go
+++ b/sample/step.go
@@ -58,7 +58,6 @@
 	counts    Counts
 	version   uint64
 	running   int
-	next      int
 	confirmed int
 	durations []time.Duration
 	rates     []float64
@@ -149,7 +148,7 @@
 		took := now.Sub(ss.started)
 		overdue := ss.running == 1 && ss.sample == nil && !ss.confirmed && took > threshold
 		slow := float64(ss.tokens) < slowRateShare*rate*took.Seconds()
-		if !overdue || !slow || len(jobs) >= budget {
+		if !overdue || !slow || len(jobs) >= budget || (st.Window > 0 && st.running >= st.Window) {
 			continue
 		}
 		jobs = append(jobs, st.start(now, at, true))
--- a/sample/step_test.go
+++ b/sample/step_test.go
@@ -90,6 +90,24 @@
 	require.Equal(t, 1, tr.Remaining)
 }
 
+// Extra runs count towards the window like first runs.
+func TestExtraRunsWithinWindow(t *testing.T) {
+	const window = 10
+	st := sample.NewStep(sample.Spec{Trainer: "t", Step: "s", Prompts: []string{"p"}, GroupSize: 20, MaxTokens: 8, Version: 1})
+	st.Window, st.ExtraShare, st.ExtraAfter = window, 1, 1.5
+	now := time.Unix(0, 0)
+	first := st.NextJobs(now)
+	require.Len(t, first, window)
+	now = now.Add(time.Second)
+	for _, jo := range first {
+		st.Finished(now, jo, sample.Sample{Text: "x", Segments: []sample.Segment{{Version: 1, Tokens: 8}}}, true)
+	}
+	require.Len(t, st.NextJobs(now), window)
+	now = now.Add(time.Minute) // all are stragglers
+	require.Empty(t, st.NextJobs(now))
+	require.Equal(t, window, st.Running())
+}
+
 func ExampleStep() {
 	st := sample.NewStep(sample.Spec{
 		Trainer: "chemists", Step: "s-1", Service: "blend-lm", Prompts: []string{"cyan"}, GroupSize: 2,
--- a/sheet/accept.go
+++ b/sheet/accept.go
@@ -311,10 +311,9 @@
 	if wanted == exists && (!wanted || want.SameTerms(current)) {
 		return nil
 	}
-	operator, change := current.ChangedBy, "changed to "+describe(current)
+	change := fmt.Sprintf("changed to %s by %s at generation %d", describe(current), current.ChangedBy, current.Revision)
 	if !exists {
-		operator, change = "another operator", "removed"
+		change = fmt.Sprintf("removed by another operator by generation %d", bo.Generation)
 	}
-	return core.Refuse(core.CodeConflict, "loan %s was %s by %s at generation %d, after this change was made from generation %d",
-		id, change, operator, max(current.Revision, bo.Generation), base.Generation)
+	return core.Refuse(core.CodeConflict, "loan %s was %s, after this change was made from generation %d", id, change, base.Generation)
 }
--- a/sheet/accept_test.go
+++ b/sheet/accept_test.go
@@ -273,6 +273,24 @@
 	require.Contains(t, er.Text, "desk")
 }
 
+// The error must name the generation of the other change, not that of a later change of
+// another loan.
+func TestConflictNamesGeneration(t *testing.T) {
+	ac := acceptor(newPlatform(healthy))
+	base, er := ac.Accept(context.Background(), "one", "ana", addLoan("desk", "ana"))
+	require.Nil(t, er)
+	high, low := oneLoan("desk", "ink-desk"), oneLoan("desk", "ink-desk")
+	high.MaxInFlight, low.MaxInFlight = 9, 3
+	second, er := ac.Accept(context.Background(), "two", "rui", sheet.ReplaceLoans(base, []loan.Loan{high}, "rui", noon))
+	require.Nil(t, er)
+	third, er := ac.Accept(context.Background(), "three", "rui", addLoan("other", "rui"))
+	require.Nil(t, er)
+	require.Greater(t, third.Generation, second.Generation)
+	_, er = ac.Accept(context.Background(), "four", "eva", sheet.ReplaceLoans(base, []loan.Loan{low}, "eva", noon))
+	require.NotNil(t, er)
+	require.Contains(t, er.Text, fmt.Sprintf("at generation %d,", second.Generation))
+}
+
 // Changes of different loans made from the same base must both be kept.
 func TestDisjointChangesMerge(t *testing.T) {
 	pl := newPlatform(healthy)
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,7 +1,6 @@
 package soak_test
 
 import (
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -99,9 +98,6 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
-				return
-			}
 			return
 		}
 	}
--- a/soak/trainer_test.go
+++ b/soak/trainer_test.go
@@ -180,7 +180,7 @@
 		known := tr.results[job]
 		switch {
 		case re.State != "completed" || re.Text != strings.Join(stub.Text(re.ID), "\n"):
-			tr.cluster.recordViolation("result %s of job %s has state %s or a wrong text", re.ID, job, re.State)
+			tr.cluster.recordViolation("result %s of job %s is %s with the text %.80q, not completed with the whole text", re.ID, job, re.State, re.Text)
 		case from+at < len(known) && known[from+at] != re.ID:
 			tr.cluster.recordViolation("position %d of job %s has item %s, but had %s before", from+at, job, re.ID, known[from+at])
 		case from+at == len(known):
