soak: targets that leave and responses without end

Two new kinds of faults, for engines and plain targets, and a mutant of each safeguard. Mutants may change one file twice.

--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -4,15 +4,17 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"bilberryshelf/fake"
+	"bilberryshelf/platform/stub"
 )
 
 // faultKindCount is the number of kinds of faults.
-const faultKindCount = 17
+const faultKindCount = 19
 
 // injector injects random faults, which may overlap.
 type injector struct {
@@ -119,9 +121,21 @@
 			time.Sleep(6*time.Second + pause/2)
 			entry.signal(syscall.SIGCONT)
 		})
+	case 17:
+		target := in.randomTarget()
+		in.injectTemporary("target leaves", func() { target.SetLeaving(true) }, func() { target.SetLeaving(false) })
+	case 18:
+		target := in.randomTarget()
+		in.injectTemporary("responses without end", func() { target.SetEndless(true) }, func() { target.SetEndless(false) })
 	}
 }
 
+// randomTarget returns an engine or a plain target.
+func (in *injector) randomTarget() *stub.Target {
+	all := append(slices.Clone(in.cluster.engines), in.cluster.plainTargets...)
+	return all[in.rng.IntN(len(all))]
+}
+
 // openSlowClients opens connections that each send an incomplete request.
 func (in *injector) openSlowClients(addr string) {
 	const count = 30
--- a/soak/mutant_test.go
+++ b/soak/mutant_test.go
@@ -38,6 +38,8 @@
 	{"no text from weights older than allowed", []edit{{"place/snapshot.go", "en.accepting() && en.Version >= it.MinVersion", "en.accepting()"}, {"runs/job.go", "if ev.Version < minVersion {", "if ev.Version == 0 {"}}},
 	{"an interrupted stream never looks complete", []edit{{"platform/stream.go", "panic(http.ErrAbortHandler)", "return"}}},
 	{"a request that crashes targets reaches only a few", []edit{{"calls/calls.go", "at.latencyShare(minTimeShare) || at.condemned() != nil {", "at.latencyShare(minTimeShare) {"}}},
+	{"a target that leaves gets no new work", []edit{{"fleet/departure.go", "_, found := de.lastListed[ta.incarnation()]\n	return found", "return false"}, {"fleet/departure.go", "de.lastListed[all[at].incarnation()], all[at].Draining = now, true", "de.lastListed[all[at].incarnation()] = now"}}},
+	{"a response without end is never complete", []edit{{"limit/read.go", "case total > most:\n			return nil, ErrTooLarge", "case total > most:\n			return chunk, nil"}}},
 	{"a request gets its own response", []edit{{"platform/target.go", "echo != re.ID || res.Header.Get(headerStamp) == \"\"", "false"}}},
 }
 
@@ -70,7 +72,11 @@
 	for at, ed := range mu.edits {
 		file, err := filepath.Abs(filepath.Join("..", ed.file))
 		require.NoError(t, err)
-		raw, err := os.ReadFile(file)
+		from := file
+		if changed, found := replace[file]; found {
+			from = changed
+		}
+		raw, err := os.ReadFile(from)
 		require.NoError(t, err)
 		require.Equal(t, 1, bytes.Count(raw, []byte(ed.old)), "the text to replace must occur exactly once")
 		replace[file] = filepath.Join(dir, fmt.Sprintf("changed-%d.go", at))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -161,7 +162,7 @@
 			cl.recordViolation("no request of kind %s got status 200", kind)
 		}
 	}
-	for _, ta := range cl.engines {
+	for _, ta := range append(slices.Clone(cl.engines), cl.plainTargets...) {
 		for _, fault := range ta.Violations() {
 			cl.recordViolation("%s: %s", ta.ID, fault)
 		}
