table, relay, order, intake: notice the store's return sooner, don't press one that is overloaded

At 300 nodes the watches of all nodes alone come near the store's rate; a refusal made entries list the same rows through peers, which is more calls.

Changes: while the store does not answer most calls are short probes. A guard reads its row before it writes it. An overloaded store (429) makes watches wait longer; refused on two paths, a call is not tried on a third and the direct path stays up. The feeds that many nodes change pause after a change.

--- a/fake/rows.go
+++ b/fake/rows.go
@@ -16,6 +16,9 @@
 type RowFaults struct {
 	// Refuse rejects every call with table.ErrRefused.
 	Refuse bool
+	// ReadsPerSecond rejects reads beyond this rate with table.ErrOverloaded; zero means no
+	// limit.
+	ReadsPerSecond int
 	// Hang blocks every call until its context ends.
 	Hang bool
 	// LoseAnswers applies this many writes and returns an error for them.
@@ -38,6 +41,10 @@
 	faults      RowFaults
 	changed     chan struct{}
 	commits     int
+	// For ReadsPerSecond: the start of the current second, the reads in it, and those
+	// refused so far.
+	secondStart                 time.Time
+	readsInSecond, refusedReads int
 }
 
 // Set replaces the faults.
@@ -96,6 +103,9 @@
 	if fa.Refuse {
 		return table.ErrRefused
 	}
+	if fa.ReadsPerSecond > 0 && !ro.takeRead(fa.ReadsPerSecond) {
+		return table.ErrOverloaded
+	}
 	if fa.Hang {
 		<-ctx.Done()
 		return ctx.Err()
@@ -103,6 +113,26 @@
 	return ctx.Err()
 }
 
+// takeRead reports whether a read is within the rate. The rate is counted by second, and a
+// wait that wakes up counts as another call.
+func (ro *Rows) takeRead(rate int) bool {
+	ro.mutex.Lock()
+	defer ro.mutex.Unlock()
+	if now := time.Now(); now.Sub(ro.secondStart) >= time.Second {
+		ro.secondStart, ro.readsInSecond = now, 0
+	}
+	ro.readsInSecond++
+	ro.refusedReads += max(0, min(1, ro.readsInSecond-rate))
+	return ro.readsInSecond <= rate
+}
+
+// RefusedReads returns the number of reads that exceeded the rate.
+func (ro *Rows) RefusedReads() int {
+	ro.mutex.Lock()
+	defer ro.mutex.Unlock()
+	return ro.refusedReads
+}
+
 // Commit applies a transaction and returns the new version. It returns
 // table.ErrConflict if an expected version does not match.
 func (ro *Rows) Commit(ctx context.Context, tx table.Tx) (uint64, error) {
--- a/intake/follow.go
+++ b/intake/follow.go
@@ -14,9 +14,19 @@
 	"bilberryshelf/table"
 )
 
-// feedThrottle is the pause after a change of job heads or entry rows. It bounds
-// the calls to the store that a busy owner causes at every other entry.
-const feedThrottle = 100 * time.Millisecond
+// The pauses after a change of the rows that many nodes write. They bound the calls to the
+// store that the other nodes cause at each entry: without them an entry makes one call a
+// change, and the changes grow with the fleet.
+const (
+	// headThrottle delays the results that trainers read at other entries.
+	headThrottle = 100 * time.Millisecond
+	// targetThrottle delays targets that leave or join, which are told seconds ahead.
+	targetThrottle = 150 * time.Millisecond
+	// guardThrottle delays which engines load.
+	guardThrottle = 150 * time.Millisecond
+	// memberThrottle is short against the three seconds after which an entry counts as dead.
+	memberThrottle = 300 * time.Millisecond
+)
 
 // feeds returns a feed for each table that the entry follows.
 func (en *Entry) feeds() []*table.Feed {
@@ -24,19 +34,22 @@
 		return &table.Feed{Store: en.store, Clock: en.clock, Logger: en.logger, Table: name, Reset: reset, Change: change}
 	}
 	heads := feed(batch.HeadTable, en.index.Apply, en.index.Apply)
-	heads.Parts, heads.Throttle, heads.Confirmed = batch.Parts(), feedThrottle, en.index.Confirm
+	heads.Parts, heads.Throttle, heads.Confirmed = batch.Parts(), headThrottle, en.index.Confirm
 	targets := feed(en.decoders.TargetTable, en.resetTargets, en.applyTargets)
+	targets.Throttle = targetThrottle
 	targets.Lost, targets.Recovered = en.registryLost, en.registryRecovered
 	members := feed(member.Table, en.applyMembers, en.applyMembers)
-	members.Throttle = feedThrottle
+	members.Throttle = memberThrottle
 	members.Confirmed = func(at time.Time) {
 		en.mutex.Lock()
 		defer en.mutex.Unlock()
 		en.members.Confirm(at)
 	}
+	guards := feed(order.Table, en.applyGuards, en.applyGuards)
+	guards.Throttle = guardThrottle
 	return []*table.Feed{
 		feed(en.decoders.OperatorTable, en.applyOperator, en.applyOperator), targets, heads, members,
-		feed(order.Table, en.applyGuards, en.applyGuards), feed(poison.Table, en.applyLosses, en.applyLosses),
+		guards, feed(poison.Table, en.applyLosses, en.applyLosses),
 	}
 }
 
@@ -73,6 +86,7 @@
 		have := en.config.Load()
 		if next := conf.Newer(have, co); next != have {
 			en.config.Store(next)
+			en.owner.SetServices(next.Services())
 			logs.Info(en.logger, "configuration adopted", "version", next.Version, "routes", next.Routes(), "row", ro.Version)
 		}
 	}
--- a/order/guard.go
+++ b/order/guard.go
@@ -84,6 +84,8 @@
 	assigned map[string]string
 	slots    map[string]slotState
 	priority StalePriority
+	// staleSince is when the engine became stale; zero if it is not.
+	staleSince time.Time
 
 	fence uint64
 	// orderedAt is when the last order was sent; loaded is the version in the last
@@ -112,6 +114,11 @@
 	// orderTimeout bounds an order, to which the engine replies before it loads, and
 	// a write to the store.
 	orderTimeout = 700 * time.Millisecond
+	// targetThrottle and guardThrottle are the pauses after a change of the rows of targets
+	// and of guards. They bound the calls to the store that other nodes cause. A slot is
+	// taken under a condition, so a late view of it costs a try.
+	targetThrottle = 300 * time.Millisecond
+	guardThrottle  = 60 * time.Millisecond
 	// startPause is the pause between attempts to get a fencing token.
 	startPause = 300 * time.Millisecond
 )
@@ -138,16 +145,15 @@
 	feed := func(name string, reset, change func([]table.Row)) *table.Feed {
 		return &table.Feed{Store: gu.Store, Clock: gu.Clock, Logger: gu.Logger, Table: name, Reset: reset, Change: change}
 	}
-	return []*table.Feed{
-		feed(gu.OperatorTable, gu.applyOperator, gu.applyOperator),
-		feed(gu.TargetTable, func(rows []table.Row) {
-			gu.mutex.Lock()
-			clear(gu.targets)
-			gu.mutex.Unlock()
-			gu.applyTargets(rows)
-		}, gu.applyTargets),
-		feed(Table, gu.applyGuards, gu.applyGuards),
-	}
+	targets := feed(gu.TargetTable, func(rows []table.Row) {
+		gu.mutex.Lock()
+		clear(gu.targets)
+		gu.mutex.Unlock()
+		gu.applyTargets(rows)
+	}, gu.applyTargets)
+	guards := feed(Table, gu.applyGuards, gu.applyGuards)
+	targets.Throttle, guards.Throttle = targetThrottle, guardThrottle
+	return []*table.Feed{feed(gu.OperatorTable, gu.applyOperator, gu.applyOperator), targets, guards}
 }
 
 func (gu *Guard) applyOperator(rows []table.Row) {
@@ -206,7 +212,7 @@
 // poll gets one report from the engine, acts on it, and returns the pause before
 // the next poll.
 func (gu *Guard) poll(ctx context.Context) time.Duration {
-	if gu.fence == 0 && !gu.writeRow(ctx, "") {
+	if gu.fence == 0 && !gu.startRow(ctx) {
 		return startPause
 	}
 	call, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -245,6 +251,25 @@
 	gu.sendOrder(ctx, or, sn)
 }
 
+// startRow writes the guard's row for the first time after a start. It keeps the model that
+// the row has: owners take an engine without one for an engine of any model.
+func (gu *Guard) startRow(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	page, err := gu.Store.List(call, table.Range{Table: Table, From: gu.Addr, To: gu.Addr + "\x00", Limit: 1})
+	if err != nil {
+		logs.Warn(gu.Logger, "model assignment not read", "err", err)
+		return false
+	}
+	var have Row
+	for _, ro := range page.Rows {
+		if have, err = DecodeRow(ro); err != nil {
+			logs.Error(gu.Logger, "cannot decode the row of this guard", "err", err)
+		}
+	}
+	return gu.writeRow(ctx, have.Model)
+}
+
 // writeRow stores the model of the engine in the guard's row. The version of the
 // first write after a start becomes the fencing token.
 func (gu *Guard) writeRow(ctx context.Context, model string) bool {
@@ -298,6 +323,14 @@
 		gu.lastBusy = now
 	}
 	sn.IdleFor = now.Sub(gu.lastBusy)
+	if !Stale(re.Versions[gu.model], gu.announced[gu.model]) {
+		gu.staleSince = time.Time{}
+	} else if gu.staleSince.IsZero() {
+		gu.staleSince = now
+	}
+	if !gu.staleSince.IsZero() {
+		sn.StaleFor = now.Sub(gu.staleSince)
+	}
 	return sn
 }
 
--- a/order/order.go
+++ b/order/order.go
@@ -12,11 +12,12 @@
 //     slow each other down. A guard loads only while it holds a slot, which is a
 //     row of the store. The number of slots is place.MaxConcurrentLoads of the
 //     number of engines of the service.
-//  4. An engine is stale if its version no longer serves the current step. A stale
-//     engine loads at once. Trainers accept the version before the announced one:
-//     an engine that has it loads when it is idle and no other engine is stale. The
-//     owner of the step empties engines for that. After StalePriorityTimeout a
-//     stale engine no longer delays the others: it, or its row, is cut off.
+//  4. An engine is stale if its version no longer serves the current step. It gets no
+//     new runs, so it is soon idle; it loads then, or after StaleBusyTimeout beside
+//     its runs. Trainers accept the version before the announced one: an engine that
+//     has it loads when it is idle and no other engine is stale. The owner of the
+//     step empties engines for that. After StalePriorityTimeout a stale engine no
+//     longer delays the others: it completes long runs, or it, or its row, is cut off.
 //  5. An engine has at most one order in progress, and one that leaves gets none.
 package order
 
@@ -112,8 +113,14 @@
 	Announced map[string]uint64
 	// IdleFor is how long the engine has had no runs; zero if it has some.
 	IdleFor time.Duration
+	// StaleFor is how long the engine has been stale; zero if it is not.
+	StaleFor time.Duration
 }
 
+// StaleBusyTimeout is how long a stale engine may complete its runs. The longest take about
+// as long as two steps.
+const StaleBusyTimeout = 8 * time.Second
+
 // minIdle is how long an engine must have no runs to count as idle: longer than
 // the pause between two items of one step.
 const minIdle = 100 * time.Millisecond
@@ -126,10 +133,11 @@
 	}
 	or = Order{Instance: sn.Report.Instance, Model: sn.Model, Version: announced, Mode: Wait, Accepted: sn.Report.Accepted}
 	if Stale(loaded, announced) { // rule 4
-		if sn.IdleFor < minIdle {
-			or.Mode = Retain
+		if sn.IdleFor >= minIdle {
+			return or, true
 		}
-		return or, true
+		or.Mode = Retain
+		return or, sn.StaleFor >= StaleBusyTimeout
 	}
 	others := slices.ContainsFunc(sn.Engines, func(en Engine) bool { return en.Stale && en.ID != sn.Self })
 	return or, sn.IdleFor >= minIdle && !others
--- a/order/stale.go
+++ b/order/stale.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// StalePriorityTimeout is how long a stale engine has priority over the others:
-// as long as a guard may hold a slot.
-const StalePriorityTimeout = maxSlotHold
+// StalePriorityTimeout is how long a stale engine has priority over the others. It needs a
+// report and a free slot; a stale engine with runs loads later.
+const StalePriorityTimeout = 500 * time.Millisecond
 
 // StalePriority records since when each engine has been stale. It is not safe for
 // concurrent use. The zero value is ready to use.
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -108,6 +108,8 @@
 	switch {
 	case errors.Is(err, table.ErrConflict):
 		return connect.NewError(connect.CodeFailedPrecondition, err)
+	case errors.Is(err, table.ErrOverloaded):
+		return connect.NewError(connect.CodeUnavailable, err)
 	case errors.Is(err, table.ErrRefused):
 		return connect.NewError(connect.CodeResourceExhausted, err)
 	default:
@@ -121,7 +123,19 @@
 		return errors.Mark(err, table.ErrConflict)
 	case connect.CodeResourceExhausted:
 		return errors.Mark(err, table.ErrRefused)
+	case connect.CodeUnavailable:
+		return peerUnavailable(err)
 	default:
 		return errors.Wrap(err, "call the store through a peer")
 	}
 }
+
+// peerUnavailable returns table.ErrOverloaded if the peer said so. The library has the same
+// code for a peer that can't be reached, after which the outcome is unknown.
+func peerUnavailable(err error) error {
+	var failed *connect.Error
+	if errors.As(err, &failed) && connect.IsWireError(failed) {
+		return errors.Wrap(table.ErrOverloaded, "through a peer")
+	}
+	return errors.Wrap(err, "call the store through a peer")
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,7 +17,9 @@
 //     is not a probe returns ErrCompacted after ListInterval, so that its caller
 //     lists the rows instead.
 //  5. A relayed call is never relayed again.
-//  6. The store is unavailable when the direct path is down and no path has had a
+//  6. A store that says on two paths that it is overloaded is: no third path is tried, and
+//     the direct path does not count as down. More calls would not help.
+//  7. The store is unavailable when the direct path is down and no path has had a
 //     response for UnavailableAfter. Callers can then fail without making a call.
 package relay
 
@@ -110,11 +112,13 @@
 		}
 	}
 	page, err := st.Direct.Watch(ctx, name, after, wait)
-	if errors.Is(err, table.ErrCompacted) {
+	switch {
+	case errors.Is(err, table.ErrCompacted):
 		st.recordDirect(nil)
-		return page, err
+	case errors.Is(err, table.ErrOverloaded): // a call tells whether other paths are better (rule 6)
+	default:
+		st.recordDirect(err)
 	}
-	st.recordDirect(err)
 	return page, err
 }
 
@@ -130,9 +134,14 @@
 		if isFinal(err, readOnly) || ctx.Err() != nil {
 			break
 		}
+		overloaded := errors.Is(err, table.ErrOverloaded)
 		if err = st.attempt(ctx, pe.Store, do); isResponse(err) {
 			st.recordPeer(pe.Name)
 		}
+		if overloaded && errors.Is(err, table.ErrOverloaded) { // rule 6
+			st.recordDirect(nil)
+			break
+		}
 	}
 	return err
 }
@@ -221,7 +230,7 @@
 	st.lastPeer, st.answeredAt = name, st.Clock.Now()
 }
 
-// Unavailable reports whether the store answers on no path at present (rule 6).
+// Unavailable reports whether the store answers on no path at present (rule 7).
 func (st *Store) Unavailable() bool {
 	st.mutex.Lock()
 	defer st.mutex.Unlock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -239,3 +239,49 @@
 		require.NoError(t, list(st))
 	})
 }
+
+// The load pattern: more nodes than the store serves. It refuses calls on every path. The
+// calls must not multiply by going through peers, and the direct path must stay up. If it
+// turns away this entry alone, peers are used.
+func TestReplayOverload(t *testing.T) {
+	for name, everywhere := range map[string]bool{"the store is overloaded": true, "it turns this entry away": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rows := &fake.Rows{}
+				direct := &faultyStore{Rows: rows, err: table.ErrOverloaded}
+				peers := [3]*faultyStore{}
+				for at := range peers {
+					peers[at] = &faultyStore{Rows: rows}
+					if everywhere {
+						peers[at].err = table.ErrOverloaded
+					}
+				}
+				st := &relay.Store{
+					Direct: direct, Clock: core.SystemClock{}, Logger: log.NewNopLogger(),
+					Peers: func() []relay.Peer {
+						return []relay.Peer{{Name: "p", Store: peers[0]}, {Name: "q", Store: peers[1]}, {Name: "r", Store: peers[2]}}
+					},
+				}
+				const calls = 10
+				for range calls {
+					_, err := st.Commit(context.Background(), tx)
+					require.Equal(t, !everywhere, err == nil)
+					_, err = st.Watch(context.Background(), "t", 0, time.Second)
+					require.Error(t, err)
+					if everywhere {
+						require.ErrorIs(t, err, table.ErrOverloaded)
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				through := peers[0].calls + peers[1].calls + peers[2].calls
+				if everywhere {
+					require.Equal(t, 2*calls, direct.calls, "the direct path is up")
+					require.Equal(t, calls, through, "one other path a call")
+					return
+				}
+				require.Less(t, direct.calls, calls, "the direct path is down")
+				require.Equal(t, calls, through)
+			})
+		})
+	}
+}
--- a/table/feed.go
+++ b/table/feed.go
@@ -19,6 +19,14 @@
 //     Reset is called with all rows.
 //  3. When the store stops answering, Lost is called once and the last state is
 //     kept. Recovered is called once when the store answers again.
+//  4. Until then most calls get probeTimeout only: a call that the store has swallowed
+//     must not hide that it is back. Each fourth call gets more time, in case the store
+//     is only slow.
+//
+//  5. When the store is overloaded, watches wait longer for a change and pauses grow, up
+//     to maxSlowdown times. A watch returns a change at once however long it may wait,
+//     so this makes fewer calls and no change later; what takes longer is to notice a
+//     connection without responses. Every easeInterval without a refusal halves it.
 //
 // Set the exported fields before Run.
 type Feed struct {
@@ -44,6 +52,12 @@
 	version uint64
 	listed  bool
 	lost    bool
+	// failures counts the calls without an answer since the last one with an answer, or
+	// since the start.
+	failures int
+	// slowdown is the factor of rule 5, zero means one. slowedAt is when it changed last.
+	slowdown int
+	slowedAt time.Time
 }
 
 const (
@@ -55,6 +69,17 @@
 	watchSlack = 600 * time.Millisecond
 	// listTimeout bounds one list.
 	listTimeout = 2 * time.Second
+	// probeTimeout bounds most calls while the store does not answer (rule 4), and
+	// probeWait is how long such a watch waits for a change.
+	probeTimeout = 500 * time.Millisecond
+	probeWait    = 100 * time.Millisecond
+	// fullAttempt is the share of calls that get the usual time meanwhile: one in so many.
+	fullAttempt = 4
+	maxSlowdown  = 8
+	easeInterval = 10 * time.Second
+	// minThrottle is the pause after a change that rule 5 multiplies, if there is no longer
+	// one.
+	minThrottle = 20 * time.Millisecond
 	// lostRetryDelay is the pause before a retry while the store does not answer.
 	lostRetryDelay = 150 * time.Millisecond
 )
@@ -67,13 +92,18 @@
 		case ctx.Err() != nil:
 			return
 		case err == nil:
+			fe.failures = 0
 			fe.markRecovered()
 		case errors.Is(err, ErrCompacted): // rule 2
 			fe.listed = false
 			logs.Debug(fe.Logger, "history compacted, listing again", "table", fe.Table, "version", fe.version)
 		default:
+			fe.failures++
+			if errors.Is(err, ErrOverloaded) {
+				fe.slowDown()
+			}
 			fe.markLost(err)
-			sleep(ctx, fe.Clock, lostRetryDelay)
+			sleep(ctx, fe.Clock, fe.slowed(lostRetryDelay))
 		}
 	}
 }
@@ -82,9 +112,18 @@
 	if !fe.listed {
 		return fe.list(ctx)
 	}
-	call, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	fe.easeOff()
+	wait := fe.slowed(watchWait)
+	timeout := wait + watchSlack
+	switch {
+	case fe.probing():
+		wait, timeout = probeWait, probeTimeout
+	case fe.lost:
+		wait, timeout = probeWait, probeWait+watchSlack
+	}
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	page, err := fe.Store.Watch(call, fe.Table, fe.version, watchWait)
+	page, err := fe.Store.Watch(call, fe.Table, fe.version, wait)
 	if err != nil {
 		return err
 	}
@@ -92,13 +131,45 @@
 	fe.confirm()
 	if len(page.Rows) > 0 {
 		fe.Change(page.Rows)
-		sleep(ctx, fe.Clock, fe.Throttle)
+		sleep(ctx, fe.Clock, fe.pause())
 	}
 	return nil
 }
 
+// slowed multiplies a time by the factor of rule 5.
+func (fe *Feed) slowed(span time.Duration) time.Duration {
+	return span * time.Duration(max(fe.slowdown, 1))
+}
+
+// pause returns the pause after a change.
+func (fe *Feed) pause() time.Duration {
+	if fe.slowdown <= 1 {
+		return fe.Throttle
+	}
+	return fe.slowed(max(fe.Throttle, minThrottle))
+}
+
+func (fe *Feed) slowDown() {
+	fe.slowdown, fe.slowedAt = min(max(fe.slowdown, 1)*2, maxSlowdown), fe.Clock.Now()
+}
+
+func (fe *Feed) easeOff() {
+	if now := fe.Clock.Now(); fe.slowdown > 1 && now.Sub(fe.slowedAt) >= easeInterval {
+		fe.slowdown, fe.slowedAt = fe.slowdown/2, now
+	}
+}
+
+// probing reports whether the next call is a probe (rule 4).
+func (fe *Feed) probing() bool {
+	return (fe.lost || !fe.listed) && fe.failures%fullAttempt != fullAttempt-1
+}
+
 func (fe *Feed) list(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, listTimeout)
+	timeout := listTimeout
+	if fe.probing() {
+		timeout = probeTimeout
+	}
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	names := fe.Parts
 	if names == nil {
--- a/table/table.go
+++ b/table/table.go
@@ -73,6 +73,8 @@
 	ErrConflict = errors.New("a row has another version than expected")
 	// ErrRefused means that the store did nothing: it is overloaded or not serving.
 	ErrRefused = errors.New("the store refused the call")
+	// ErrOverloaded is an ErrRefused: the store gets more calls than it serves.
+	ErrOverloaded = errors.Wrap(ErrRefused, "overloaded")
 	// ErrCompacted means that the store no longer has all changes after a version;
 	// the rows must be listed again.
 	ErrCompacted = errors.New("the store no longer has the history after the version")
