place, runs: empty engines by letting runs end, memory beside slots, no move to a slower engine

Change: engines whose runs end soon are emptied first, runs have 1.5 s to end, and engines with longer ones are emptied only while less than half have the announced version. A stale engine gets no new items while others can run them. Engines whose memory holds an item to its end are preferred. What moves goes to a quick engine, and an emptied run never to a slower one; quick is measured against the faster quarter of the engines. One pass over the runs of an engine instead of three.

--- a/conf/conf.go
+++ b/conf/conf.go
@@ -4,6 +4,8 @@
 package conf
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -119,6 +121,9 @@
 	return co
 }
 
+// Services returns the services in any order.
+func (co *Config) Services() []Service { return slices.Collect(maps.Values(co.services)) }
+
 // Find returns the route of the host with the longest prefix of the path.
 func (co *Config) Find(host, path string) (Route, bool) {
 	var (
--- a/place/load.go
+++ b/place/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -22,6 +23,15 @@
 // that it is idle takes up to 0.3 s.
 const NextLoadDelay = 600 * time.Millisecond
 
+const (
+	// EmptyPatience is how long the runs of an engine that is emptied may take to end
+	// before they move. Most items take less.
+	EmptyPatience = 1500 * time.Millisecond
+	// FreshShare is the share of a model's engines that must have the announced version
+	// before the next step needs it.
+	FreshShare = 0.5
+)
+
 // updating reports whether an engine counts towards MaxConcurrentLoads.
 func (en Engine) updating() bool {
 	if en.Loading {
@@ -38,6 +48,8 @@
 	// serving counts the engines that hold a permitted version, updating those of
 	// them that count towards MaxConcurrentLoads.
 	updating, serving int
+	// fresh counts the engines that have the announced version or are about to.
+	fresh int
 	// freeSlots is the number of free slots of engines that accept items.
 	freeSlots int
 }
@@ -52,6 +64,9 @@
 		if en.updating() {
 			ec.updating++
 		}
+		if en.Version >= announced || en.Emptying || en.Loading {
+			ec.fresh++
+		}
 		if en.Emptying || en.Loading {
 			continue
 		}
@@ -75,8 +90,12 @@
 			}
 			return 1
 		}
+		if order := cmp.Compare(engines[lhs].BusyFor, engines[rhs].BusyFor); order != 0 {
+			return order
+		}
 		return cmp.Compare(engines[lhs].Load, engines[rhs].Load)
 	})
+	enough := int(math.Ceil(FreshShare * float64(ec.serving)))
 	limit := min(MaxConcurrentLoads(ec.serving), ec.serving-1) - ec.updating
 	var chosen []int
 	for _, at := range ec.outdated {
@@ -84,6 +103,9 @@
 		if len(chosen) >= limit || ec.freeSlots < engines[at].Running {
 			break
 		}
+		if engines[at].BusyFor > EmptyPatience && ec.fresh+len(chosen) >= enough {
+			break
+		}
 		ec.freeSlots -= engines[at].Running
 		chosen = append(chosen, at)
 	}
--- a/place/move.go
+++ b/place/move.go
@@ -1,9 +1,6 @@
 package place
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// StallTimeout is the longest time between two events of a run: about ten
@@ -59,6 +56,11 @@
 	return here-elsewhere >= MinMoveGain && here > ru.Slack/estimateError
 }
 
+// delaysLoad reports whether a run would not end within what is left of EmptyPatience.
+func (sn *Snapshot) delaysLoad(en Engine, ru Run) bool {
+	return time.Duration(ru.RemainingEvents)*max(en.Pace, sn.median) > EmptyPatience-en.EmptyingFor
+}
+
 // MoveReason returns why a run should move to another engine, or an empty Reason
 // if it should stay (rule 7). Choose decides whether another engine has a free slot.
 func (sn *Snapshot) MoveReason(ru Run) Reason {
@@ -66,13 +68,13 @@
 	if ru.Started {
 		timeout = StallTimeout
 	}
-	at := slices.IndexFunc(sn.engines, func(en Engine) bool { return en.ID == ru.Engine })
+	at := sn.position(ru.Engine)
 	switch {
 	case ru.SinceLastEvent > timeout:
 		return Stalled
 	case at < 0:
 		return ""
-	case sn.engines[at].Emptying:
+	case sn.engines[at].Emptying && sn.delaysLoad(sn.engines[at], ru):
 		return Emptied
 	case sn.engines[at].Loading:
 		return Loading
--- a/place/place.go
+++ b/place/place.go
@@ -20,18 +20,23 @@
 //     their load exceeds the lowest by more than RegionSlack: a run in another
 //     region ends later by the latency of the link, and the step with it. Next
 //     are engines that have read the same prompt, within AffinitySlack, then the
-//     least loaded, then those in the owner's failure domain. Before all that, a long
-//     item goes to a quick engine, among them to one with the newest weights, and to
-//     one that has long runs already while they fill less than half of its slots: so
-//     the other engines run out of work soon and can load new weights without cutting
-//     a run.
+//     least loaded, then those in the owner's failure domain. Before all that, an
+//     engine whose memory holds its runs to their ends is preferred: one that runs
+//     out of memory puts its newest run back, in the middle of the text. And an item
+//     that is long or moves goes to a quick engine, among them to one with the newest
+//     weights, and to one that has long runs already while they fill less than half
+//     of its slots: so the other engines run out of work soon and can load new
+//     weights without cutting a run.
 //  5. An engine that refused an item gets one item at a time until a run has
 //     produced an event.
 //  6. Loading weights stops an engine's runs for about a second. So once no item
 //     waits, engines with weights older than the announced version are emptied:
-//     they get no new items, and their runs move to other engines. At most
-//     MaxConcurrentLoads are emptied at once, the least loaded first, and only
-//     while the others have free slots for their runs. The guard of an engine
+//     they get no new items, their runs end within EmptyPatience or move to other
+//     engines. At most MaxConcurrentLoads are emptied at once, first those whose
+//     runs end soonest, and only while the others have free slots for their runs.
+//     An engine whose runs take longer is emptied only while less than FreshShare
+//     of the engines have the announced version: trainers accept the one before
+//     it, and a long run that moves may delay its step. The guard of an engine
 //     loads the weights when the engine is idle. The next engine is emptied
 //     shortly before a load ends, which keeps the weight store busy. An engine
 //     that was emptied and did not load is skipped for a while.
@@ -68,9 +73,10 @@
 	// RegionSlack is the same for an engine in the owner's region, which saves two
 	// trips over the link between regions. It is about the load of one long run.
 	RegionSlack = 6
-	// QuickFactor is the multiple of the median pace up to which an engine is quick. Engines
-	// of a service differ in speed by a quarter and more, load adds a tenth.
-	QuickFactor = 1.12
+	// QuickFactor is the multiple of the pace that a quarter of the engines reach, up to
+	// which an engine is quick. Engines of a service differ in speed by a quarter and
+	// more, load adds a tenth.
+	QuickFactor = 1.15
 	// LongRun is the expected time from which a run is long: its engine, not the order of
 	// the queue, decides when its step ends.
 	LongRun = 2500 * time.Millisecond
@@ -86,6 +92,10 @@
 	// Load is the sum of RunLoad over the engine's runs: the tokens that they hold,
 	// in prompts. The more there are, the more slowly the engine generates.
 	Load float64
+	// Memory is the number of tokens that the engine can keep, zero if not known. Held is
+	// how many its runs are expected to keep at their ends, shared prompts counted once.
+	Memory int
+	Held   int
 	// Version is the version of the weights that the engine holds.
 	Version uint64
 	// Pace is the last measured time between two events of a run; zero if it was
@@ -106,10 +116,16 @@
 	LoadingFor time.Duration
 	Model      string
 	OtherModel bool
+	// BusyFor is the expected time until the last of the engine's runs ends.
+	BusyFor time.Duration
+	// Stale is set if the engine's version no longer serves the newest step. It then gets
+	// items only if no other engine can run them, so that it is soon idle and can load.
+	Stale bool
 	// Emptying is set while the engine is emptied for a load of weights; it gets no
-	// items. Skipped is set if it was emptied recently and did not load.
-	Emptying bool
-	Skipped  bool
+	// items. EmptyingFor is the time since that began. Skipped is set if it was emptied recently and did not load.
+	Emptying    bool
+	EmptyingFor time.Duration
+	Skipped     bool
 	// LongRuns counts the engine's runs that are expected to go on for LongRun or more.
 	LongRuns int
 	// Groups counts the engine's runs by group. The runs of a group share a prompt.
@@ -118,6 +134,14 @@
 
 func (en Engine) freeSlots() int { return en.Slots - en.Running }
 
+// memoryShare is the share of an engine's memory that the estimates may fill.
+const memoryShare = 0.9
+
+// holds reports whether the engine's memory is expected to hold an item beside its runs.
+func (en Engine) holds(it Item) bool {
+	return en.Memory == 0 || float64(en.Held+it.Tokens) <= memoryShare*float64(en.Memory)
+}
+
 // accepting reports whether an engine accepts items.
 func (en Engine) accepting() bool {
 	probed := en.Probing && en.NotStarted > 0 // rule 5
@@ -135,6 +159,8 @@
 	RemainingEvents int
 	// Load is what the item adds to an engine's load, in prompts.
 	Load float64
+	// Tokens is what it is expected to keep at its end, the prompt included.
+	Tokens int
 	// MinVersion is the oldest permitted version.
 	MinVersion uint64
 	// Avoid is the engine that the item moved from or should move from, if any.
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -80,6 +80,60 @@
 			es[0].Pace = 3 * pace
 			es[1].BackingOff, es[2].Version, es[3].Loading = true, 0, true
 		}), place.Item{MinVersion: 1, Avoid: "B", MoveReason: place.Slow}, -1},
+		{"no stale one, so that it can load", with(func(es []place.Engine) {
+			es[0].Stale = true
+			es[1].Running, es[2].Running, es[3].Running = 3, 2, 4
+		}), place.Item{}, 2},
+		{"none while only a stale one has a free slot", with(func(es []place.Engine) {
+			es[0].Stale = true
+			es[1].Running, es[2].Running, es[3].Running = 12, 12, 12
+		}), place.Item{}, -1},
+		{"a stale one when all are", with(func(es []place.Engine) {
+			for at := range es {
+				es[at].Stale, es[at].Running = true, 4-at
+			}
+		}), place.Item{}, 3},
+		{"a long item on a quick engine, whatever the load", with(func(es []place.Engine) {
+			es[0].Pace, es[1].Pace = 5*pace/4, 5*pace/4
+			es[2].Running, es[3].Running = 7, 6
+		}), place.Item{RemainingEvents: 100}, 3},
+		{"a long item on one with the newest weights", with(func(es []place.Engine) { es[2].Version, es[2].Running = 2, 7 }), place.Item{RemainingEvents: 100}, 2},
+		{"a long item beside other long runs", with(func(es []place.Engine) { es[2].LongRuns, es[2].Running = 5, 7 }), place.Item{RemainingEvents: 100}, 2},
+		{"long runs fill no more than half of an engine", with(func(es []place.Engine) { es[2].LongRuns, es[2].Running = 6, 7 }), place.Item{RemainingEvents: 100}, 0},
+		{"a short item by load", with(func(es []place.Engine) { es[2].Version, es[2].LongRuns, es[2].Running = 2, 5, 7 }), place.Item{RemainingEvents: 10}, 0},
+		{"a long item on a quick engine, though most are slower", with(func(es []place.Engine) {
+			es[0].Pace, es[1].Pace, es[2].Pace = 5*pace/4, 5*pace/4, 5*pace/4
+			es[3].Running = 7
+		}), place.Item{RemainingEvents: 100}, 3},
+		{"a short item that moves, to a quick engine", with(func(es []place.Engine) {
+			es[0].Pace, es[1].Pace = 5*pace/4, 5*pace/4
+			es[2].Running, es[3].Running = 7, 6
+		}), place.Item{RemainingEvents: 10, MoveReason: place.Slow, Avoid: "A"}, 3},
+		{"not emptied to a slower engine", with(func(es []place.Engine) {
+			es[1].Pace = 5 * pace / 4
+			es[2].Running, es[3].Running = 12, 12
+		}), place.Item{RemainingEvents: 100, MoveReason: place.Emptied, Avoid: "A"}, -1},
+		{"emptied from a slower engine to another", with(func(es []place.Engine) {
+			es[0].Pace, es[1].Pace = 5*pace/4, 5*pace/4
+			es[2].Running, es[3].Running = 12, 12
+		}), place.Item{RemainingEvents: 100, MoveReason: place.Emptied, Avoid: "A"}, 1},
+		{"a long item on a quick engine rather than on one with memory", with(func(es []place.Engine) {
+			for at := range es {
+				es[at].Memory, es[at].Held = 50_000, 40_000
+			}
+			es[0].Held, es[0].Pace, es[1].Running, es[3].Running = 0, 5*pace/4, 2, 2
+		}), place.Item{RemainingEvents: 100, Tokens: 12_000}, 2},
+		{"one whose memory holds it to its end", with(func(es []place.Engine) {
+			for at := range es {
+				es[at].Memory, es[at].Held = 50_000, 40_000
+			}
+			es[2].Held, es[2].Running = 30_000, 9
+		}), place.Item{Tokens: 12_000}, 2},
+		{"the least loaded when none has the memory", with(func(es []place.Engine) {
+			for at := range es {
+				es[at].Memory, es[at].Held, es[at].Running = 50_000, 45_000, 4-at
+			}
+		}), place.Item{Tokens: 12_000}, 3},
 		{"no engine", nil, place.Item{}, -1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -112,6 +166,9 @@
 	require.Empty(t, moveReason(run), "the timeout is longer before the first event")
 	run.SinceLastEvent, run.Started = 0, true
 	es[0].Emptying = true
+	run.RemainingEvents = int(place.EmptyPatience / pace)
+	require.Empty(t, moveReason(run), "it ends soon")
+	es[0].EmptyingFor = pace
 	require.Equal(t, place.Emptied, moveReason(run))
 	moves := place.Item{MinVersion: 1, Avoid: "A", MoveReason: place.Emptied}
 	require.Equal(t, 1, place.NewSnapshot(es).Choose(moves))
@@ -176,6 +233,26 @@
 	require.Empty(t, place.ChooseForLoad(full, "m", 1, 2), "the others have no free slots")
 }
 
+// Engines whose runs end soon are emptied first. One with longer runs is emptied only
+// while less than half of the engines have the announced version.
+func TestEmptyWithoutMoves(t *testing.T) {
+	es := engines(6)
+	for at := range es {
+		es[at].Model, es[at].BusyFor = "m", place.EmptyPatience+time.Second
+	}
+	es[4].BusyFor = place.EmptyPatience
+	require.Equal(t, []int{4}, place.ChooseForLoad(es, "m", 1, 2))
+	es[4].Emptying = true
+	require.Empty(t, place.ChooseForLoad(es, "m", 1, 2), "at most one of six at a time")
+	es[4].Emptying, es[4].Version = false, 2
+	es[0].Version = 2
+	require.Equal(t, []int{1}, place.ChooseForLoad(es, "m", 1, 2), "two of six are too few")
+	es[1].Version = 2
+	require.Empty(t, place.ChooseForLoad(es, "m", 1, 2), "half of them are enough")
+	es[5].BusyFor = 0
+	require.Equal(t, []int{5}, place.ChooseForLoad(es, "m", 1, 2))
+}
+
 // The longest item is assigned to the least loaded engine. An engine that is
 // emptied for a load gets none.
 func ExampleSnapshot_Choose() {
--- a/place/snapshot.go
+++ b/place/snapshot.go
@@ -12,12 +12,20 @@
 // not safe for concurrent use. Create it with NewSnapshot.
 type Snapshot struct {
 	engines []Engine
-	median  time.Duration
+	// median is the median pace of the engines, quickest the pace that a quarter of them
+	// reach.
+	median, quickest time.Duration
+	// positions maps the id of an engine to its position, once it is needed.
+	positions map[string]int
 }
 
 // NewSnapshot returns a Snapshot that owns the slice; Assign modifies it.
 func NewSnapshot(engines []Engine) *Snapshot {
-	return &Snapshot{engines: engines, median: median(engines)}
+	paces := sortedPaces(engines)
+	if len(paces) == 0 {
+		return &Snapshot{engines: engines}
+	}
+	return &Snapshot{engines: engines, median: paces[(len(paces)-1)/2], quickest: paces[(len(paces)-1)/4]}
 }
 
 // Engine returns the engine at a position.
@@ -27,25 +35,23 @@
 func (sn *Snapshot) Assign(at int, it Item) {
 	sn.engines[at].Running++
 	sn.engines[at].Load += it.Load
+	sn.engines[at].Held += it.Tokens
 	sn.engines[at].NotStarted++
 	if sn.long(it) {
 		sn.engines[at].LongRuns++
 	}
 }
 
-// median returns the median pace of the engines for which it was measured.
-func median(engines []Engine) time.Duration {
+// sortedPaces returns the paces of the engines for which it was measured, in ascending order.
+func sortedPaces(engines []Engine) []time.Duration {
 	var paces []time.Duration
 	for _, en := range engines {
 		if en.Pace > 0 {
 			paces = append(paces, en.Pace)
 		}
 	}
-	if len(paces) == 0 {
-		return 0
-	}
 	slices.Sort(paces)
-	return paces[(len(paces)-1)/2]
+	return paces
 }
 
 // slow reports whether an engine is slow (rule 3).
@@ -56,21 +62,45 @@
 // Choose returns the position of the engine for an item, or -1 if the item has to
 // wait.
 func (sn *Snapshot) Choose(it Item) int {
-	otherModel := !sn.hasOwnModelEngine(it)
-	lowest := sn.minLoad(it, otherModel)
+	fi := sn.filter(it)
+	lowest := sn.minLoad(it, fi)
 	best := -1
 	for at, en := range sn.engines {
-		if !sn.eligible(en, it, otherModel) {
+		if !sn.eligible(en, it, fi) {
 			continue
 		}
 		if best < 0 || sn.preferred(en, sn.engines[best], it, lowest) {
 			best = at
 		}
 	}
-	if best < 0 && it.MoveReason == "" {
-		return sn.fallback(it, otherModel)
+	switch {
+	case best < 0 && it.MoveReason == "":
+		return sn.fallback(it, fi)
+	case best >= 0 && it.MoveReason == Emptied && !sn.quick(sn.engines[best]) && sn.quickByID(it.Avoid):
+		return -1
+	default:
+		return best
 	}
-	return best
+}
+
+// quickByID reports whether the engine with an id is quick.
+func (sn *Snapshot) quickByID(id string) bool {
+	at := sn.position(id)
+	return at >= 0 && sn.quick(sn.engines[at])
+}
+
+// position returns the position of the engine with an id, or -1.
+func (sn *Snapshot) position(id string) int {
+	if sn.positions == nil {
+		sn.positions = make(map[string]int, len(sn.engines))
+		for at, en := range sn.engines {
+			sn.positions[en.ID] = at
+		}
+	}
+	if at, found := sn.positions[id]; found {
+		return at
+	}
+	return -1
 }
 
 // hasOwnModelEngine reports whether an engine of the item's own model can serve
@@ -81,22 +111,35 @@
 	})
 }
 
+// filter says which engines an item may use in the absence of better ones.
+type filter struct {
+	// otherModel permits engines that serve another model (rule 8), stale those whose
+	// version no longer serves the newest step.
+	otherModel, stale bool
+}
+
+func (sn *Snapshot) filter(it Item) filter {
+	fi := filter{otherModel: !sn.hasOwnModelEngine(it)}
+	fi.stale = !slices.ContainsFunc(sn.engines, func(en Engine) bool { return fi.canRun(en, it) })
+	return fi
+}
+
 // canRun reports whether an engine may run an item, regardless of free slots and
 // pace.
-func canRun(en Engine, it Item, otherModel bool) bool {
-	return en.accepting() && en.Version >= it.MinVersion && (otherModel || !en.OtherModel)
+func (fi filter) canRun(en Engine, it Item) bool {
+	return en.accepting() && en.Version >= it.MinVersion && (fi.otherModel || !en.OtherModel) && (fi.stale || !en.Stale)
 }
 
 // eligible reports whether a fast engine has a free slot for an item.
-func (sn *Snapshot) eligible(en Engine, it Item, otherModel bool) bool {
-	return canRun(en, it, otherModel) && en.freeSlots() > 0 && !sn.slow(en) && en.ID != it.Avoid
+func (sn *Snapshot) eligible(en Engine, it Item, fi filter) bool {
+	return fi.canRun(en, it) && en.freeSlots() > 0 && !sn.slow(en) && en.ID != it.Avoid
 }
 
 // minLoad returns the lowest load among the eligible engines.
-func (sn *Snapshot) minLoad(it Item, otherModel bool) float64 {
+func (sn *Snapshot) minLoad(it Item, fi filter) float64 {
 	lowest := math.Inf(1)
 	for _, en := range sn.engines {
-		if sn.eligible(en, it, otherModel) {
+		if sn.eligible(en, it, fi) {
 			lowest = min(lowest, en.Load)
 		}
 	}
@@ -106,16 +149,21 @@
 // long reports whether an item is expected to run for LongRun or more.
 func (sn *Snapshot) long(it Item) bool { return time.Duration(it.RemainingEvents)*sn.median >= LongRun }
 
-// quick reports whether an engine is about as fast as most, or its pace is not known.
-func (sn *Snapshot) quick(en Engine) bool { return float64(en.Pace) <= QuickFactor*float64(sn.median) }
+// quick reports whether an engine is about as fast as the faster ones, or its pace is not
+// known.
+func (sn *Snapshot) quick(en Engine) bool { return float64(en.Pace) <= QuickFactor*float64(sn.quickest) }
 
 // preferred reports whether the engine lhs is preferred to rhs; both are eligible
 // (rule 4).
 func (sn *Snapshot) preferred(lhs, rhs Engine, it Item, lowest float64) bool {
-	if sn.long(it) {
-		if sn.quick(lhs) != sn.quick(rhs) {
-			return sn.quick(lhs)
-		}
+	critical := sn.long(it) || it.MoveReason != ""
+	if critical && sn.quick(lhs) != sn.quick(rhs) {
+		return sn.quick(lhs)
+	}
+	if lhs.holds(it) != rhs.holds(it) {
+		return lhs.holds(it)
+	}
+	if critical {
 		if lhs.Version != rhs.Version {
 			return lhs.Version > rhs.Version
 		}
@@ -146,10 +194,10 @@
 // fallback returns the position of the fastest slow engine with a free slot, or
 // -1. If a fast engine could run the item but is full, the item waits for it
 // (rule 3).
-func (sn *Snapshot) fallback(it Item, otherModel bool) int {
+func (sn *Snapshot) fallback(it Item, fi filter) int {
 	best := -1
 	for at, en := range sn.engines {
-		if !canRun(en, it, otherModel) {
+		if !fi.canRun(en, it) {
 			continue
 		}
 		if !sn.slow(en) && en.ID != it.Avoid {
@@ -178,7 +226,7 @@
 		return 0, 0, false
 	}
 	engine = slices.IndexFunc(sn.engines, func(en Engine) bool {
-		return en.PaceStale && en.Running == 0 && sn.slow(en) && canRun(en, queue[item], false)
+		return en.PaceStale && en.Running == 0 && sn.slow(en) && filter{}.canRun(en, queue[item])
 	})
 	return engine, item, engine >= 0
 }
--- a/runs/engine.go
+++ b/runs/engine.go
@@ -40,43 +40,35 @@
 }
 
 func (en *engine) view(now time.Time, model string) place.Engine {
-	return place.Engine{
+	vi := place.Engine{
 		ID: en.target.ID, Distance: en.target.Distance, Slots: en.target.Slots, Running: en.running,
 		Version: en.version(model), Pace: en.pace, PaceStale: now.Sub(en.paceAt) > maxPaceAge, BackingOff: now.Before(en.backoffUntil), Groups: en.groups,
-		Load: en.load(), Probing: en.refusals > 0, NotStarted: en.notStarted(), Emptying: !en.emptiedAt.IsZero(), Skipped: now.Before(en.skipUntil),
-		LongRuns: en.longRuns(),
+		Probing: en.refusals > 0, Emptying: !en.emptiedAt.IsZero(), Skipped: now.Before(en.skipUntil),
 	}
-}
-
-// longRuns counts the runs that are expected to go on for place.LongRun or more.
-func (en *engine) longRuns() int {
-	count := 0
-	for ru := range en.runs {
-		if time.Duration(ru.item.remainingEvents())*en.pace >= place.LongRun {
-			count++
-		}
-	}
-	return count
-}
-
-// load returns the load of all runs, in prompts.
-func (en *engine) load() float64 {
-	sum := 0.0
-	for ru := range en.runs {
-		sum += ru.item.load(ru.eventCount())
+	if vi.Emptying {
+		vi.EmptyingFor = now.Sub(en.emptiedAt)
 	}
-	return sum
-}
-
-// notStarted counts the runs without an event.
-func (en *engine) notStarted() int {
-	count := 0
+	prompts := map[string]bool{}
 	for ru := range en.runs {
-		if _, version := ru.progress(); version == 0 {
-			count++
+		it, events := ru.item, ru.eventCount()
+		if events == 0 {
+			vi.NotStarted++
+		}
+		if group := it.item.Group; !prompts[group] {
+			prompts[group] = true
+			vi.Held += it.item.PromptTokens
+		}
+		generated := len(it.events) + events
+		remaining := it.remainingAfter(generated)
+		vi.Load += it.load(events)
+		vi.Held += (generated + remaining) * tokensPerEvent
+		left := time.Duration(remaining) * en.pace
+		vi.BusyFor = max(vi.BusyFor, left)
+		if left >= place.LongRun {
+			vi.LongRuns++
 		}
 	}
-	return count
+	return vi
 }
 
 // backOffRefused extends the backoff after a refusal.
--- a/runs/job.go
+++ b/runs/job.go
@@ -181,8 +181,10 @@
 // remainingEvents estimates the number of events that the text still lacks. A text that has
 // outlived the trainer's estimate has half of its length before it: lengths have a long
 // tail.
-func (it *item) remainingEvents() int {
-	generated := it.eventCount()
+func (it *item) remainingEvents() int { return it.remainingAfter(it.eventCount()) }
+
+// remainingAfter is the same, given the number of events that were generated.
+func (it *item) remainingAfter(generated int) int {
 	expected := it.item.Hint / tokensPerEvent
 	if most := (it.item.MaxTokens - it.item.PromptTokens) / tokensPerEvent; most > 0 {
 		expected = min(expected, most)
@@ -193,6 +195,9 @@
 	return 1 + generated/2
 }
 
+// outputTokens estimates the length of the whole text in tokens.
+func (it *item) outputTokens() int { return (it.eventCount() + it.remainingEvents()) * tokensPerEvent }
+
 // reset discards the generated text.
 func (it *item) reset() { it.events, it.versions, it.complete = nil, nil, false }
 
--- a/runs/models.go
+++ b/runs/models.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"bilberryshelf/conf"
+	"bilberryshelf/order"
 	"bilberryshelf/place"
 )
 
@@ -13,6 +15,15 @@
 	})
 }
 
+// SetServices records the memory of the engines of each service.
+func (ow *Owner) SetServices(services []conf.Service) {
+	ow.Loop.Post(func() {
+		for _, se := range services {
+			ow.memory[se.Name] = se.KVCapacity
+		}
+	})
+}
+
 // load is an engine that loads weights, and when this became known.
 type load struct {
 	addr string
@@ -52,8 +63,10 @@
 		en.endEmptying(now, en.version(served) >= ow.announced[served])
 		if en.target.Service == service && !en.target.Draining {
 			vi := en.view(now, model)
+			vi.Memory = ow.memory[service]
 			vi.LoadingFor, vi.Loading = ow.loading(now, en.target.Addr)
 			vi.Model, vi.OtherModel = served, served != "" && served != model
+			vi.Stale = order.Stale(en.version(served), ow.announced[served])
 			views = append(views, vi)
 		}
 	}
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -96,6 +96,8 @@
 	// a load slot to the engine that holds it.
 	servedModels map[string]string
 	loads        map[string]load
+	// memory maps a service to the number of tokens that each of its engines can keep.
+	memory map[string]int
 	// longestText maps a route to the number of events of its longest complete text.
 	longestText map[string]int
 	// routePartials maps a route to the partial texts of its last ended or complete
@@ -150,7 +152,7 @@
 	ow.jobs, ow.engines = map[string]*job{}, map[string]*engine{}
 	ow.routePartials, ow.announced = map[string]map[string]batch.Partial{}, map[string]uint64{}
 	ow.servedModels, ow.loads = map[string]string{}, map[string]load{}
-	ow.longestText = map[string]int{}
+	ow.longestText, ow.memory = map[string]int{}, map[string]int{}
 }
 
 // Run performs the periodic checks until the context is canceled.
--- a/runs/step.go
+++ b/runs/step.go
@@ -105,7 +105,7 @@
 	var queue []place.Item
 	for at, it := range jo.items {
 		wi := place.Item{
-			Index: at, Group: it.item.Group, Required: it.resumed, RemainingEvents: it.remainingEvents(), Load: it.load(0),
+			Index: at, Group: it.item.Group, Required: it.resumed, RemainingEvents: it.remainingEvents(), Load: it.load(0), Tokens: it.item.PromptTokens + it.outputTokens(),
 			MinVersion: jo.body.MinVersion, Avoid: it.avoid,
 		}
 		switch {
