steps, subcmd: `bilberryshelf steps` accounts for the time of each step from logs

What a step waited for, by parts: a slot, its longest item alone, slower engines and fuller batches, moves, scoring, the trainer's look. Found with it: the last items were moved to engines that are always slower.

--- a/subcmd/explain_test.go
+++ b/subcmd/explain_test.go
@@ -27,3 +27,19 @@
 	require.Equal(t, subcmd.ExitFailed, subcmd.Main([]string{"explain", "r9", one}, &out, &errs))
 	require.Equal(t, subcmd.ExitFailed, subcmd.Main([]string{"explain", "r1", filepath.Join(dir, "none")}, &out, &errs))
 }
+
+func TestSteps(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "log")
+	require.NoError(t, os.WriteFile(file, []byte(`at=2026-01-01T00:00:00Z msg="job submitted" id=j1 step=3 items=1 err=null
+at=2026-01-01T00:00:00.5Z msg="run begun" job=j1 id=i1 pace=40ms
+at=2026-01-01T00:00:05Z msg="item completed" job=j1 id=i1 events=100 scored-for=100ms
+at=2026-01-01T00:00:05.4Z msg="job ended" id=j1
+`), 0o600))
+	var out, errs bytes.Buffer
+	require.Equal(t, subcmd.ExitOK, subcmd.Main([]string{"steps", file}, &out, &errs))
+	require.Regexp(t, `j1 +3 +1/1 +0.50 +5.40 +0.50 +4.00 +0.40 +0.00 +0.10 +0.40 +100 +1`, out.String())
+	require.NoError(t, os.WriteFile(file, []byte("at=2026-01-01T00:00:00Z msg=ready\n"), 0o600))
+	require.Equal(t, subcmd.ExitFailed, subcmd.Main([]string{"steps", file}, &out, &errs))
+	require.Equal(t, subcmd.ExitFailed, subcmd.Main([]string{"steps", filepath.Join(dir, "none")}, &out, &errs))
+}
--- a/subcmd/subcmd.go
+++ b/subcmd/subcmd.go
@@ -121,6 +121,12 @@
 		example:     "bilberryshelf explain 3a42d2762e05eef9 entry-1.log entry-2.log",
 		newData:     func(out io.Writer) any { return &explainCommand{out: out} },
 	},
+	{
+		name: "steps", summary: "account for the time of steps",
+		description: "Prints for each step in the log files where its time went, in seconds: until its last item began, until the trainer ended it, and the parts of the item that it waited for last. Give the logs of all entries. Exit codes: 0, 1 if there is no step.",
+		example:     "bilberryshelf steps entry-1.log entry-2.log",
+		newData:     func(out io.Writer) any { return &stepsCommand{out: out} },
+	},
 	{
 		name: "version", summary: "print the version",
 		description: "Prints the version of the program and of the toolchain. Exit code: 0.",
