order: a restarted guard frees the slot that its earlier process held

The guard takes the row over that names it as the holder, and frees it by the usual rule. So it does for a write that took the slot though its answer was lost. TestSlotOfRestartedGuard fails without it.

--- a/order/guard.go
+++ b/order/guard.go
@@ -231,6 +231,7 @@
 		}
 		sn.Model = model
 	}
+	gu.reclaim()
 	gu.release(ctx, re)
 	gu.orderNext(ctx, sn)
 	if sn.Announced[sn.Model] > re.Versions[sn.Model] {
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -375,3 +375,31 @@
 		<-done
 	})
 }
+
+// The load pattern: all guards are killed while some hold the slots. When they are back,
+// their slots must not wait for maxSlotHold.
+func TestSlotOfRestartedGuard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const guards = 8
+		cl, stop := start(t, guards)
+		time.Sleep(2 * time.Second)
+		put(t, cl.rows, "op", "2")
+		time.Sleep(500 * time.Millisecond) // the first loads are in progress
+		stop()
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		for at := range guards {
+			gu := cl.guard(at)
+			group.Go(func() { gu.Run(ctx) })
+		}
+		// Six engines are left, two load at a time, each for 900 ms.
+		time.Sleep(3*900*time.Millisecond + 1200*time.Millisecond)
+		for _, en := range cl.engines {
+			version, _, _ := en.snapshot()
+			require.EqualValues(t, 2, version)
+		}
+		cancel()
+		group.Wait()
+	})
+}
--- a/order/slot.go
+++ b/order/slot.go
@@ -45,6 +45,24 @@
 	gu.slots[ro.ID.Key] = slotState{holder: re.Holder, version: ro.Version, seenAt: gu.Clock.Now()}
 }
 
+// reclaim takes over a slot that an earlier process of this guard held when it died, or that
+// a write took whose answer was lost. release then frees it at once: the other guards would
+// wait for maxSlotHold.
+func (gu *Guard) reclaim() {
+	if gu.held.key != "" {
+		return
+	}
+	gu.mutex.Lock()
+	defer gu.mutex.Unlock()
+	for key, sl := range gu.slots {
+		if sl.holder == gu.Addr {
+			gu.held = heldSlot{key: key, version: sl.version, since: sl.seenAt}
+			logs.Info(gu.Logger, "slot of an earlier process", "slot", key)
+			return
+		}
+	}
+}
+
 // acquire takes a free slot, or one that its holder has kept for too long, and
 // reports whether the guard may load. The guard of a stale engine may load without
 // a slot after maxSlotFailure.
