--- a/place/place.go
+++ b/place/place.go
@@ -122,7 +122,8 @@
 	// items only if no other engine can run them, so that it is soon idle and can load.
 	Stale bool
 	// Emptying is set while the engine is emptied for a load of weights; it gets no
-	// items. EmptyingFor is the time since that began. Skipped is set if it was emptied recently and did not load.
+	// items. EmptyingFor is the time since that began. Skipped is set if it was emptied
+	// recently and did not load.
 	Emptying    bool
 	EmptyingFor time.Duration
 	Skipped     bool
--- a/place/snapshot.go
+++ b/place/snapshot.go
@@ -151,7 +151,9 @@
 
 // quick reports whether an engine is about as fast as the faster ones, or its pace is not
 // known.
-func (sn *Snapshot) quick(en Engine) bool { return float64(en.Pace) <= QuickFactor*float64(sn.quickest) }
+func (sn *Snapshot) quick(en Engine) bool {
+	return float64(en.Pace) <= QuickFactor*float64(sn.quickest)
+}
 
 // preferred reports whether the engine lhs is preferred to rhs; both are eligible
 // (rule 4).
--- a/table/feed.go
+++ b/table/feed.go
@@ -15,10 +15,13 @@
 //
 //  1. A feed first lists all rows of its parts, then watches the table from the
 //     version of that list.
+//
 //  2. When the store has compacted the history, the parts are listed again, and
 //     Reset is called with all rows.
+//
 //  3. When the store stops answering, Lost is called once and the last state is
 //     kept. Recovered is called once when the store answers again.
+//
 //  4. Until then most calls get probeTimeout only: a call that the store has swallowed
 //     must not hide that it is back. Each fourth call gets more time, in case the store
 //     is only slow.
@@ -74,7 +77,7 @@
 	probeTimeout = 500 * time.Millisecond
 	probeWait    = 100 * time.Millisecond
 	// fullAttempt is the share of calls that get the usual time meanwhile: one in so many.
-	fullAttempt = 4
+	fullAttempt  = 4
 	maxSlowdown  = 8
 	easeInterval = 10 * time.Second
 	// minThrottle is the pause after a change that rule 5 multiplies, if there is no longer
