--- a/place/place.go
+++ b/place/place.go
@@ -23,10 +23,8 @@
 //     least loaded, then those in the owner's failure domain. Before all that, an
 //     engine whose memory holds its runs to their ends is preferred: one that runs
 //     out of memory puts its newest run back, in the middle of the text. And an item
-//     that is long or moves goes to a quick engine, among them to one with the newest
-//     weights, and to one that has long runs already while they fill less than half
-//     of its slots: so the other engines run out of work soon and can load new
-//     weights without cutting a run.
+//     that is long or moves goes to a quick engine, among them to one in the owner's
+//     region, and to one with the newest weights, which need not load soon.
 //  5. An engine that refused an item gets one item at a time until a run has
 //     produced an event.
 //  6. Loading weights stops an engine's runs for about a second. So once no item
@@ -127,8 +125,6 @@
 	Emptying    bool
 	EmptyingFor time.Duration
 	Skipped     bool
-	// LongRuns counts the engine's runs that are expected to go on for LongRun or more.
-	LongRuns int
 	// Groups counts the engine's runs by group. The runs of a group share a prompt.
 	Groups map[string]int
 }
--- a/place/snapshot.go
+++ b/place/snapshot.go
@@ -37,9 +37,6 @@
 	sn.engines[at].Load += it.Load
 	sn.engines[at].Held += it.Tokens
 	sn.engines[at].NotStarted++
-	if sn.long(it) {
-		sn.engines[at].LongRuns++
-	}
 }
 
 // sortedPaces returns the paces of the engines for which it was measured, in ascending order.
@@ -166,13 +163,12 @@
 		return lhs.holds(it)
 	}
 	if critical {
+		if near := func(en Engine) bool { return en.Distance != fleet.OtherRegion }; near(lhs) != near(rhs) {
+			return near(lhs)
+		}
 		if lhs.Version != rhs.Version {
 			return lhs.Version > rhs.Version
 		}
-		collects := func(en Engine) bool { return en.LongRuns > 0 && en.LongRuns < en.Slots/2 }
-		if collects(lhs) != collects(rhs) {
-			return collects(lhs)
-		}
 	}
 	return preferredByLoad(lhs, rhs, it, lowest)
 }
--- a/runs/engine.go
+++ b/runs/engine.go
@@ -62,11 +62,7 @@
 		remaining := it.remainingAfter(generated)
 		vi.Load += it.load(events)
 		vi.Held += (generated + remaining) * tokensPerEvent
-		left := time.Duration(remaining) * en.pace
-		vi.BusyFor = max(vi.BusyFor, left)
-		if left >= place.LongRun {
-			vi.LongRuns++
-		}
+		vi.BusyFor = max(vi.BusyFor, time.Duration(remaining)*en.pace)
 	}
 	return vi
 }
