--- a/calls/stream.go
+++ b/calls/stream.go
@@ -130,15 +130,15 @@
 		first   time.Duration
 	)
 	idleLimit := st.firstEventTimeout(started)
-	lastEventAt := began
+	progressAt := began
 	watch := time.AfterFunc(idleLimit, func() { stalled.Store(true); cancel() })
 	defer watch.Stop()
 	err := fo.stream(ctx, ta, st.re, st.lastEventID, st.begin, func(id int, raw []byte) error {
 		watch.Stop()       // time spent on a slow reader does not count
 		if id == NoEvent { // a target may stall and still send a comment now and then
-			idle := fo.Clock.Now().Sub(lastEventAt)
+			idle := fo.Clock.Now().Sub(progressAt)
 			err := st.forward(raw)
-			lastEventAt = fo.Clock.Now().Add(-idle)
+			progressAt = fo.Clock.Now().Add(-idle)
 			watch.Reset(max(idleLimit-idle, 0))
 			return err
 		}
@@ -153,9 +153,9 @@
 			return err
 		}
 		st.events++
-		lastEventAt = fo.Clock.Now()
-		st.lastEventID, st.lastEventAt = max(st.lastEventID, id), lastEventAt
-		idleLimit = st.re.Deadline.Sub(lastEventAt)
+		progressAt = fo.Clock.Now()
+		st.lastEventID, st.lastEventAt = max(st.lastEventID, id), progressAt
+		idleLimit = st.re.Deadline.Sub(progressAt)
 		if repeatable(st.re.Route) {
 			idleLimit = streamIdleTimeout
 		}
