--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -130,10 +129,12 @@
 	}
 }
 
-// randomTarget returns an engine or a plain target.
+// randomTarget returns an engine or, as often, a plain target.
 func (in *injector) randomTarget() *stub.Target {
-	all := append(slices.Clone(in.cluster.engines), in.cluster.plainTargets...)
-	return all[in.rng.IntN(len(all))]
+	if in.rng.IntN(2) == 0 {
+		return in.cluster.engines[in.rng.IntN(engineCount)]
+	}
+	return in.cluster.plainTargets[in.rng.IntN(plainTargetCount)]
 }
 
 // openSlowClients opens connections that each send an incomplete request.
