--- a/calls/stream_test.go
+++ b/calls/stream_test.go
@@ -75,8 +75,8 @@
 	return nil
 }
 
-// The log and the latency of a stream cover all its attempts: the targets that were asked
-// before it was resumed, and one whose response had no events.
+// The log of a stream lists the targets of all its attempts, also those that were asked
+// before it was resumed.
 func TestStreamRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
