--- a/calls/departure_test.go
+++ b/calls/departure_test.go
@@ -87,6 +87,8 @@
 			fo.Departures.Announce(time.Now(), ta)
 		}
 		require.Equal(t, core.MayHaveRun, (<-done).Verdict)
+		ts.mutex.Lock()
+		defer ts.mutex.Unlock()
 		require.Len(t, ts.requested, 1)
 	})
 }
