quota, platform, intake: log and count the limits that targets name

Now a change of a target's limit is a log line, the limit a gauge (target-limit), and requests and items sent to a target with a limit are counted (limited-requests). Nothing decides by it yet.

--- a/boot/node.go
+++ b/boot/node.go
@@ -13,6 +13,7 @@
 	"bilberryshelf/meter"
 	"bilberryshelf/order"
 	"bilberryshelf/platform"
+	"bilberryshelf/quota"
 	"bilberryshelf/relay"
 	"bilberryshelf/server"
 	"bilberryshelf/setup"
@@ -47,14 +48,14 @@
 func NodeEntry(se setup.NodeSettings, lg log.Logger, me *meter.Set) (Daemon, error) {
 	limitMemory(se.Instance)
 	limits := responseLimits(se)
-	departures := &fleet.Departures{}
-	store, targets := platform.NewStore(se.Store.Address).WithLimits(limits), platform.NewTargets().WithLimits(limits).WithDepartures(departures)
+	departures, rates := &fleet.Departures{}, &quota.Limits{}
+	store, targets := platform.NewStore(se.Store.Address).WithLimits(limits), platform.NewTargets().WithLimits(limits).WithDepartures(departures).WithRates(rates)
 	inner := &http.Client{Transport: innerTransport()}
 	en := intake.New(intake.Settings{
 		Node: se.Name, Region: se.Place.Region, Domain: se.Place.FailureDomain, Inner: se.Listen.Inner, Grace: se.Timing.Grace.Std(),
 		LowCapacity: se.Instance.Cores < minJobCores, MaxBodyBytes: int64(maxBodyShare * float64(se.Instance.Memory)),
 	}, intake.Ports{
-		Direct: store, Sender: targets, Streamer: targets, Engine: targets, Departures: departures,
+		Direct: store, Sender: targets, Streamer: targets, Engine: targets, Departures: departures, Rates: rates,
 		Dial: func(addr string) table.Client { return relay.NewClient(inner, addr) },
 		Starter: func(addr string) intake.Starter {
 			return wireconnect.NewJobServiceClient(inner, "http://"+addr, connect.WithReadMaxBytes(wire.MaxMessageBytes))
--- a/calls/calls.go
+++ b/calls/calls.go
@@ -45,6 +45,7 @@
 	"bilberryshelf/logs"
 	"bilberryshelf/meter"
 	"bilberryshelf/poison"
+	"bilberryshelf/quota"
 )
 
 const (
@@ -113,6 +114,8 @@
 	OnDeath func(lo poison.Loss)
 	// Departures holds the targets that announced that they leave; nil means none.
 	Departures *fleet.Departures
+	// Rates holds the limits that targets named; nil means none.
+	Rates *quota.Limits
 }
 
 // outcome is the result of one attempt.
@@ -292,8 +295,15 @@
 		return core.Refuse(core.CodeDraining, "target %s is leaving", ta.ID)
 	case !fo.Clock.Now().Before(re.Deadline):
 		return core.Refuse(core.CodeDeadline, "deadline exceeded before the request was sent to target %s", ta.ID)
-	default:
-		return nil
+	}
+	fo.countLimited(ta)
+	return nil
+}
+
+// countLimited counts a request that is sent to a target with a limit.
+func (fo *Forwarder) countLimited(ta fleet.Target) {
+	if fo.Rates.Limit(ta) > 0 {
+		fo.Meters.Count("limited-requests", ta.ID, 1)
 	}
 }
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -23,6 +23,7 @@
 	"bilberryshelf/member"
 	"bilberryshelf/meter"
 	"bilberryshelf/poison"
+	"bilberryshelf/quota"
 	"bilberryshelf/relay"
 	"bilberryshelf/runs"
 	"bilberryshelf/table"
@@ -82,6 +83,7 @@
 	done   chan struct{}
 
 	departures *fleet.Departures
+	rates      *quota.Limits
 	// publishing is held while the targets are published, so that an older list never
 	// replaces a newer one.
 	publishing sync.Mutex
@@ -112,6 +114,8 @@
 	Engine   runs.Engine
 	// Departures is where the clients above report the targets that leave.
 	Departures *fleet.Departures
+	// Rates is where they report the limits that targets name.
+	Rates *quota.Limits
 	// Dial returns a client that calls the store through the peer at an inner
 	// address.
 	Dial func(addr string) table.Client
@@ -133,23 +137,27 @@
 		settings: se, name: se.Node + "/" + strconv.FormatUint(rand.Uint64(), 36), clock: clock, logger: lg, meters: me,
 		decoders: de, index: batch.NewIndex(clock, lg), balancer: &calls.Balancer{}, loop: core.NewLoop(), dial: po.Dial, starter: po.Starter,
 		done: make(chan struct{}), malformed: map[string]bool{}, orphans: map[string]time.Time{}, peerClients: map[string]table.Client{},
-		losses: make(chan poison.Loss, maxQueuedLosses), departures: po.Departures,
+		losses: make(chan poison.Loss, maxQueuedLosses), departures: po.Departures, rates: po.Rates,
 	}
 	if en.departures == nil {
 		en.departures = &fleet.Departures{}
 	}
 	en.departures.OnAnnounced = en.targetLeaves
+	if en.rates == nil {
+		en.rates = &quota.Limits{}
+	}
+	en.rates.OnChange, en.rates.OnMalformed = en.limitChanged, en.limitMalformed
 	en.bodyMemory.Max = se.MaxBodyBytes
 	en.ctx, en.stop = context.WithCancel(context.Background())
 	en.store = &relay.Store{Direct: po.Direct, Peers: en.peers, Clock: clock, Logger: lg}
 	en.ledger = batch.Ledger{Store: en.store}
 	en.forwarder = &calls.Forwarder{
 		Sender: po.Sender, Streamer: po.Streamer, Clock: clock, Logger: lg, Meters: me, IntN: rand.IntN, Balancer: en.balancer, OnDeath: en.enqueueLoss,
-		Departures: en.departures,
+		Departures: en.departures, Rates: en.rates,
 	}
 	en.owner = &runs.Owner{
 		Ledger: en.ledger, Index: en.index, Engine: po.Engine, Scorer: en,
-		Clock: clock, Logger: lg, Meters: me, Loop: en.loop, Departures: en.departures,
+		Clock: clock, Logger: lg, Meters: me, Loop: en.loop, Departures: en.departures, Rates: en.rates,
 	}
 	en.owner.Init(en.ctx)
 	return en
--- /dev/null
+++ b/quota/limits_test.go
@@ -0,0 +1,58 @@
+package quota_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/fleet"
+	"bilberryshelf/quota"
+)
+
+var target = fleet.Target{ID: "a", StartedAt: 1}
+
+func TestNewLimit(t *testing.T) {
+	for number, want := range map[float64]quota.Limit{1.5: 1.5, 0: 0.2, 0.01: 0.2, 1e300: 1e300} {
+		li, ok := quota.NewLimit(number)
+		require.True(t, ok, number)
+		require.Equal(t, want, li)
+	}
+	for _, number := range []float64{-1, math.NaN(), math.Inf(1), math.Inf(-1)} {
+		_, ok := quota.NewLimit(number)
+		require.False(t, ok, number)
+	}
+}
+
+// A response that arrives late must not override one to a later request, whether it names
+// a limit or not.
+func TestLateResponseKeepsNewerLimit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var changes []quota.Limit
+	ls := &quota.Limits{OnChange: func(_ fleet.Target, _, is quota.Limit) { changes = append(changes, is) }}
+	ls.Observe(target, now, quota.Reading{})
+	ls.Observe(target, now.Add(2*time.Second), quota.Reading{Limit: 3})
+	ls.Observe(target, now.Add(time.Second), quota.Reading{})
+	require.Equal(t, quota.Limit(3), ls.Limit(target))
+	ls.Observe(target, now.Add(3*time.Second), quota.Reading{Limit: 2})
+	ls.Observe(target, now.Add(4*time.Second), quota.Reading{})
+	ls.Observe(target, now.Add(3*time.Second), quota.Reading{Limit: 2})
+	require.Zero(t, ls.Limit(target))
+	require.Equal(t, []quota.Limit{3, 2, 0}, changes)
+
+	ls.Observe(target, now.Add(5*time.Second), quota.Reading{Limit: 2})
+	require.Zero(t, ls.Limit(fleet.Target{ID: "a", StartedAt: 2}), "another incarnation has no limit")
+	require.Zero(t, (*quota.Limits)(nil).Limit(target))
+}
+
+func TestMalformedLimitChangesNothing(t *testing.T) {
+	now, reports := time.Unix(1000, 0), 0
+	ls := &quota.Limits{OnMalformed: func(fleet.Target, string) { reports++ }}
+	ls.Observe(target, now, quota.Reading{Limit: 3})
+	for range 3 {
+		ls.Observe(target, now.Add(time.Second), quota.Reading{Malformed: "many"})
+	}
+	require.Equal(t, quota.Limit(3), ls.Limit(target))
+	require.Equal(t, 1, reports, "reported once")
+}
--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,2 @@
+// Package quota holds the request rates that targets in need accept.
+package quota
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -16,6 +16,7 @@
 	"bilberryshelf/core"
 	"bilberryshelf/fleet"
 	"bilberryshelf/meter"
+	"bilberryshelf/quota"
 )
 
 // Event is one event of the stream in which an engine sends a text.
@@ -85,6 +86,8 @@
 	Loop   *core.Loop
 	// Departures holds the targets that announced that they leave; nil means none.
 	Departures *fleet.Departures
+	// Rates holds the limits that targets named; nil means none.
+	Rates *quota.Limits
 
 	ctx         context.Context
 	jobs        map[string]*job
--- a/runs/step.go
+++ b/runs/step.go
@@ -173,6 +173,9 @@
 	if ow.Departures.Departing(ta) {
 		return Outcome{Ending: Refused, Detail: "the target is leaving"}
 	}
+	if ow.Rates.Limit(ta) > 0 {
+		ow.Meters.Count("limited-requests", ta.ID, 1)
+	}
 	return ow.Engine.Run(ctx, ta, rq, event)
 }
 
