quota, calls, runs, intake: requests to a target stay within the rate that it names

Cause: nothing read Server-Limit, and no decision had a place for a rate that all entries share; most of the load is the scoring calls of one entry, the owner of a job.

Change: package quota. A request, item, scoring call, retry, second attempt or resumption goes to such a target only with a permit that is taken right before it is sent. One entry a target (by rendezvous over the live ones) issues them at the rate of the limit to whoever asks; a permit lapses 400 ms after it was asked for, so a paused process sends on none. While views of who lives may differ an issuer issues half, a deputy a quarter. Claims by priority, each fourth to the priority that waited longest. Other targets first; if there is none, a request waits a quarter of its target latency at most, and is refused at once, with the issuer's estimate as Retry-After, if none is expected by then. Scoring calls and items wait at the owner.

Weighed against fixed shares by the number of entries (one request a minute each with 88 entries and 1.5 a second; the owner needs most of it) and a subset of entries that may send (the others would refuse callers).

--- a/calls/balancer.go
+++ b/calls/balancer.go
@@ -83,7 +83,12 @@
 
 // pickTarget returns the less loaded of two random targets of the best class that has
 // any, without those already tried (rule 1).
-func (ba *Balancer) pickTarget(now time.Time, service string, tried []string, intN func(int) int) (fleet.Target, bool) {
+//
+// Permits returns whether a target limits its rate and the number of permits at hand.
+// Without a permit such a target is not chosen but returned as limited.
+func (ba *Balancer) pickTarget(now time.Time, service string, tried []string, permits func(fleet.Target) (bool, int), intN func(int) int) (
+	ta fleet.Target, limited []fleet.Target, found bool,
+) {
 	ba.mutex.Lock()
 	defer ba.mutex.Unlock()
 	var classes [classCount][]fleet.Target
@@ -93,14 +98,20 @@
 			continue
 		}
 		cl := ba.class(now, ta, mean)
+		if isLimited, count := permits(ta); isLimited && count == 0 {
+			limited = append(limited, ta)
+			continue
+		} else if isLimited {
+			cl = max(cl, remoteOrBusy)
+		}
 		classes[cl] = append(classes[cl], ta)
 	}
 	for _, from := range classes {
 		if len(from) > 0 {
-			return ba.lessLoaded(from[intN(len(from))], from[intN(len(from))]), true
+			return ba.lessLoaded(from[intN(len(from))], from[intN(len(from))]), limited, true
 		}
 	}
-	return fleet.Target{}, false
+	return fleet.Target{}, limited, false
 }
 
 // The classes of targets in order of preference.
@@ -108,7 +119,7 @@
 	warm = iota // in the entry's region, recently used, no request in flight, low load
 	sameDomain
 	sameRegion
-	remoteOrBusy // in another region, or load not below maxLocalLoad
+	remoteOrBusy // in another region, load not below maxLocalLoad, or with a limited rate
 	degraded     // slow or in backoff
 	classCount
 )
@@ -190,7 +201,7 @@
 		if ou.response.Slots > 0 {
 			ts.reported, ts.inFlightAtReport = ou.response.Running+ou.response.Waiting, then // the reported load still includes the answered request
 		}
-	case canceled:
+	case canceled || ou.err.Code == core.CodeTargetLimit:
 	case ou.err.Code == core.CodeFull:
 		ts.backoffUntil = now.Add(fullBackoff)
 	default:
--- a/calls/calls.go
+++ b/calls/calls.go
@@ -29,11 +29,16 @@
 //  10. A target that announces in a response that it leaves gets no further request of
 //     this entry, not even one that was assigned to it and is not sent yet; that one
 //     is assigned again.
+//  11. A target that limits its rate gets a request only with a permit, which is taken
+//     right before the request is sent. Other targets are preferred. If no other target
+//     can take the request it waits for a permit, at most for its Patience; if none is
+//     expected by then, it is refused at once.
 package calls
 
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -60,6 +65,11 @@
 	// minTimeShare is the part of the target latency that must remain before the deadline to
 	// start an attempt: a target could not respond in less.
 	minTimeShare = 0.1
+	// permitPatience is the part of the target latency for which a request waits for a
+	// permit.
+	permitPatience = 0.25
+	// claimInterval is how often a waiting request renews its claim of a permit.
+	claimInterval = 100 * time.Millisecond
 )
 
 // Request is a request to one target of a service.
@@ -74,6 +84,9 @@
 	Route  conf.Route
 	// Deadline is the earlier of the caller's deadline and the route's time limit.
 	Deadline time.Time
+	// Patience is how long the request may wait for a target that limits its rate; zero
+	// means permitPatience of the target latency.
+	Patience time.Duration
 	// LastEventID is the id of the last event of a stream that the caller received.
 	LastEventID int
 }
@@ -141,6 +154,11 @@
 	refused  int
 	verdict  core.Verdict
 	last     *core.Error
+	// limited are the targets that the last search left out for lack of a permit; waitUntil
+	// is when the request stops waiting for one, permitAt when one is expected.
+	limited   []fleet.Target
+	waitUntil time.Time
+	permitAt  time.Time
 }
 
 func newAttempts(fo *Forwarder, re Request) *attempts {
@@ -185,7 +203,7 @@
 }
 
 func (at *attempts) run(ctx context.Context) (Response, *core.Error) {
-	if !at.launch(ctx) {
+	if !at.launchOrWait(ctx) {
 		return Response{}, at.finalError()
 	}
 	hedge := at.fo.Clock.After(at.latencyShare(HedgeShare))
@@ -196,7 +214,7 @@
 			if at.accept(ou) {
 				return ou.response, nil
 			}
-			if at.inFlight == 0 && !at.launch(ctx) {
+			if at.inFlight == 0 && !at.launchOrWait(ctx) {
 				return Response{}, at.finalError()
 			}
 		case <-hedge:
@@ -222,6 +240,7 @@
 // next chooses the target of the next attempt, if the rules permit another attempt.
 func (at *attempts) next(ctx context.Context) (fleet.Target, bool) {
 	fo := at.fo
+	at.limited = nil
 	mayHaveRun := at.verdict != "" && at.verdict != core.NotRun
 	if (mayHaveRun && !repeatable(at.re.Route)) || at.sent >= fo.maxAttempts(at.re) || at.refused >= MaxRefusals || ctx.Err() != nil {
 		return fleet.Target{}, false
@@ -229,8 +248,12 @@
 	if at.re.Deadline.Sub(fo.Clock.Now()) < at.latencyShare(minTimeShare) || at.condemned() != nil {
 		return fleet.Target{}, false
 	}
-	ta, found := fo.Balancer.pickTarget(fo.Clock.Now(), at.service, at.tried, fo.IntN)
+	now := fo.Clock.Now()
+	ta, limited, found := fo.Balancer.pickTarget(now, at.service, at.tried, func(ta fleet.Target) (bool, int) {
+		return fo.Rates.Permits(now, ta, at.re.Route.Priority)
+	}, fo.IntN)
 	if !found {
+		at.limited = limited
 		return fleet.Target{}, false
 	}
 	at.tried, at.asked = append(at.tried, ta.ID), append(at.asked, ta.ID)
@@ -288,23 +311,22 @@
 }
 
 // checkSend checks right before a request is sent what may have changed since its target
-// was chosen: the process may have been paused in between.
+// was chosen: the process may have been paused in between. It takes the permit that a
+// target with a limited rate requires (rule 11).
 func (fo *Forwarder) checkSend(ta fleet.Target, re Request) error {
+	leaving, now := fo.Departures.Departing(ta), fo.Clock.Now()
 	switch {
-	case fo.Departures.Departing(ta):
+	case leaving:
 		return core.Refuse(core.CodeDraining, "target %s is leaving", ta.ID)
-	case !fo.Clock.Now().Before(re.Deadline):
+	case !now.Before(re.Deadline):
 		return core.Refuse(core.CodeDeadline, "deadline exceeded before the request was sent to target %s", ta.ID)
+	case !fo.Rates.Take(now, ta, re.Route.Priority):
+		return core.Refuse(core.CodeTargetLimit, "no permit for target %s", ta.ID)
 	}
-	fo.countLimited(ta)
-	return nil
-}
-
-// countLimited counts a request that is sent to a target with a limit.
-func (fo *Forwarder) countLimited(ta fleet.Target) {
 	if fo.Rates.Limit(ta) > 0 {
 		fo.Meters.Count("limited-requests", ta.ID, 1)
 	}
+	return nil
 }
 
 // recordTooLarge logs and counts a response that exceeded the limits on its size.
@@ -325,7 +347,11 @@
 	at.verdict = at.verdict.Combine(ou.err.Verdict)
 	if ou.err.Verdict == core.NotRun {
 		at.sent--
-		if ou.err.Code != core.CodeDraining { // a target that leaves was not asked
+		switch ou.err.Code {
+		case core.CodeDraining: // a target that leaves was not asked
+		case core.CodeTargetLimit: // nor was this one, and it may be chosen again
+			at.tried = slices.DeleteFunc(at.tried, func(id string) bool { return id == ou.target.ID })
+		default:
 			at.refused++
 		}
 	}
@@ -341,6 +367,9 @@
 	if left := at.re.Deadline.Sub(at.fo.Clock.Now()); verdict == "" && left < at.latencyShare(minTimeShare) {
 		return core.Refuse(core.CodeDeadline, "only %v are left, too little for a target to respond", left)
 	}
+	if verdict == "" && len(at.limited) > 0 {
+		return at.limitError()
+	}
 	if verdict == "" || verdict == core.NotRun {
 		wait := at.fo.Balancer.retryAfter(at.fo.Clock.Now(), at.service, at.fo.IntN)
 		return core.Refuse(core.CodeFull, "no target of service %s takes the request", at.service).WithRetryAfter(wait)
--- a/calls/stream.go
+++ b/calls/stream.go
@@ -75,7 +75,7 @@
 		ta, found := st.next(ctx)
 		switch {
 		case found:
-		case st.waitForTarget(ctx):
+		case st.waitForPermit(ctx) || st.waitForTarget(ctx):
 			continue
 		default:
 			return st.finalStreamError(ctx)
@@ -84,7 +84,7 @@
 		if err == nil {
 			return nil
 		}
-		st.accept(outcome{err: err})
+		st.accept(outcome{target: ta, err: err})
 		if callerDisconnected(err) {
 			return err
 		}
--- a/core/error.go
+++ b/core/error.go
@@ -23,6 +23,7 @@
 	CodeLoanEnding       Code = "loan-ending"
 	CodeLoanLimit        Code = "loan-limit"
 	CodeFull             Code = "full"
+	CodeTargetLimit      Code = "target-limit"
 	CodeQueueWait        Code = "queue-wait"
 	CodeDraining         Code = "draining"
 	CodeNotReady         Code = "not-ready"
--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -23,6 +23,7 @@
 	"bilberryshelf/fleet"
 	"bilberryshelf/intake"
 	"bilberryshelf/meter"
+	"bilberryshelf/quota"
 	"bilberryshelf/runs"
 	"bilberryshelf/table"
 	"bilberryshelf/wire"
@@ -151,10 +152,13 @@
 	*engines
 	*sender
 	departures *fleet.Departures
+	rates      *quota.Limits
 
 	mutex sync.Mutex
 	// leaving holds the ids of targets that say in each response that they leave.
 	leaving map[string]bool
+	// limits maps a target to the requests per second that it names in each response.
+	limits  *sync.Map
 	started map[string][]time.Time
 }
 
@@ -163,6 +167,11 @@
 	an.started[ta.ID] = append(an.started[ta.ID], time.Now())
 	leaving := an.leaving[ta.ID]
 	an.mutex.Unlock()
+	reading := quota.Reading{}
+	if li, found := an.limits.Load(ta.ID); found {
+		reading.Limit = li.(quota.Limit)
+	}
+	an.rates.Observe(ta, time.Now(), reading)
 	if leaving {
 		an.departures.Announce(time.Now(), ta)
 	}
@@ -257,6 +266,8 @@
 	ended   []chan struct{}
 	// startedAt is the start time of the targets, as the registry lists it.
 	startedAt atomic.Int64
+	// limits maps a target to the quota.Limit that it names.
+	limits sync.Map
 }
 
 var route = conf.Route{
@@ -336,6 +347,18 @@
 	}
 }
 
+// issuer returns a client that asks the entry at an inner address for permits.
+func (cl *cluster) issuer(addr string) intake.Issuer { return cl.starter(addr).(*peer) }
+
+func (pe *peer) Permits(ctx context.Context, req *wire.PermitsRequest) (*wire.PermitsResponse, error) {
+	select {
+	case <-pe.cluster.ended[pe.at]:
+		return nil, errors.New("connection refused")
+	case <-time.After(5 * time.Millisecond):
+		return pe.cluster.entries[pe.at].Permits(ctx, req)
+	}
+}
+
 // shiftSubmitted shifts a job's submission time, as if the entry that accepted the
 // job had a wrong clock.
 func (cl *cluster) shiftSubmitted(id string, by time.Duration) {
@@ -365,10 +388,10 @@
 // start starts an entry on a node and replaces the node's previous entry, if any.
 func (cl *cluster) start(node int) {
 	li := &link{Rows: cl.rows}
-	an := &announcer{engines: cl.engines, sender: cl.sender, departures: &fleet.Departures{}, started: map[string][]time.Time{}}
+	an := &announcer{engines: cl.engines, sender: cl.sender, departures: &fleet.Departures{}, rates: &quota.Limits{}, limits: &cl.limits, started: map[string][]time.Time{}}
 	en := intake.New(
 		intake.Settings{Node: "n" + strconv.Itoa(node), Domain: "d", Inner: "n" + strconv.Itoa(node), Grace: 8 * time.Second},
-		intake.Ports{Direct: li, Sender: an, Engine: an, Departures: an.departures, Dial: func(string) table.Client { return cl.rows }, Starter: cl.starter},
+		intake.Ports{Direct: li, Sender: an, Engine: an, Departures: an.departures, Rates: an.rates, Issuer: cl.issuer, Dial: func(string) table.Client { return cl.rows }, Starter: cl.starter},
 		cl.decoders(), core.SystemClock{}, log.NewNopLogger(), &meter.Set{},
 	)
 	ended := make(chan struct{})
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -84,6 +84,9 @@
 
 	departures *fleet.Departures
 	rates      *quota.Limits
+	// permitIssuer issues the permits of the targets that this entry is responsible for.
+	permitIssuer quota.Issuer
+	issuer       func(addr string) Issuer
 	// publishing is held while the targets are published, so that an older list never
 	// replaces a newer one.
 	publishing sync.Mutex
@@ -98,6 +101,8 @@
 	regions map[string]string
 	// orphans maps a job to the time at which it was found to be an orphan.
 	orphans map[string]time.Time
+	// failedIssuers maps an entry that did not issue permits to when it is asked again.
+	failedIssuers map[string]time.Time
 	// peerClients maps inner addresses to clients of the store through a peer.
 	peerClients map[string]table.Client
 
@@ -121,6 +126,8 @@
 	Dial func(addr string) table.Client
 	// Starter returns a client that hands jobs over to the peer at an inner address.
 	Starter func(addr string) Starter
+	// Issuer returns a client that asks the peer at an inner address for permits.
+	Issuer func(addr string) Issuer
 }
 
 // Starter hands a job over to another entry.
@@ -135,7 +142,7 @@
 func New(se Settings, po Ports, de Decoders, clock core.Clock, lg log.Logger, me *meter.Set) *Entry {
 	en := &Entry{
 		settings: se, name: se.Node + "/" + strconv.FormatUint(rand.Uint64(), 36), clock: clock, logger: lg, meters: me,
-		decoders: de, index: batch.NewIndex(clock, lg), balancer: &calls.Balancer{}, loop: core.NewLoop(), dial: po.Dial, starter: po.Starter,
+		decoders: de, index: batch.NewIndex(clock, lg), balancer: &calls.Balancer{}, loop: core.NewLoop(), dial: po.Dial, starter: po.Starter, issuer: po.Issuer, failedIssuers: map[string]time.Time{},
 		done: make(chan struct{}), malformed: map[string]bool{}, orphans: map[string]time.Time{}, peerClients: map[string]table.Client{},
 		losses: make(chan poison.Loss, maxQueuedLosses), departures: po.Departures, rates: po.Rates,
 	}
@@ -174,6 +181,7 @@
 	group.Go(func() { en.renew(ctx) })
 	group.Go(func() { en.sweep(ctx) })
 	group.Go(func() { en.shareLosses(ctx) })
+	group.Go(func() { en.askForPermits(ctx) })
 	for _, fe := range en.feeds() {
 		group.Go(func() { fe.Run(ctx) })
 	}
--- a/intake/sweep.go
+++ b/intake/sweep.go
@@ -26,6 +26,8 @@
 			logs.Info(en.logger, "targets removed after the registry outage", "count", len(removed))
 			en.publishTargets()
 		}
+		en.rates.Sweep(en.clock.Now())
+		en.permitIssuer.Sweep(en.clock.Now())
 		heads := en.index.All()
 		en.adoptOrphans(ctx, heads)
 		en.deleteExpiredJob(ctx, heads)
--- a/member/member.go
+++ b/member/member.go
@@ -78,6 +78,9 @@
 	confirmedAt time.Time
 	// freshSince is when the rows last became fresh after they had been outdated.
 	freshSince time.Time
+	// liveNames are the names of the live entries when they last changed, at changedAt.
+	liveNames string
+	changedAt time.Time
 }
 
 // Put updates the view from a row. A value that cannot be decoded is ignored and
@@ -175,6 +178,31 @@
 	return ranked
 }
 
+// issuerCount is the number of entries that may issue the permits of a target: the issuer
+// and its deputy.
+const issuerCount = 2
+
+// Issuers returns the entry that issues the permits of a target, and its deputy.
+func (vi *View) Issuers(now time.Time, target string) []Record {
+	ranked := vi.ranked(now, "permits/"+target)
+	if len(ranked) == 0 { // all are small or stopping
+		ranked = vi.Live(now)
+	}
+	return ranked[:min(len(ranked), issuerCount)]
+}
+
+// ChangedAt returns when the set of live entries last changed.
+func (vi *View) ChangedAt(now time.Time) time.Time {
+	names := ""
+	for _, re := range vi.ranked(now, "") {
+		names += re.Name + " "
+	}
+	if names != vi.liveNames {
+		vi.liveNames, vi.changedAt = names, now
+	}
+	return vi.changedAt
+}
+
 // maxRowAge is the largest age of a heartbeat with which an entry gets new jobs: one
 // heartbeat interval and one poll of a feed.
 const maxRowAge = 1600 * time.Millisecond
--- a/place/place.go
+++ b/place/place.go
@@ -11,8 +11,8 @@
 //     any case, then the longest by the trainer's estimate, then by group, so that
 //     items with the same prompt are adjacent.
 //  2. An engine runs at most as many items as it has slots. An engine that is
-//     in backoff, is emptied, loads weights, or holds older weights than the item
-//     permits gets none.
+//     in backoff, is emptied, loads weights, limits its rate and has no permit left, or
+//     holds older weights than the item permits gets none.
 //  3. An engine is slow if its pace exceeds SlowFactor times the median; the
 //     others are fast. Except as a probe (rule 9), a slow engine gets an item only if
 //     no fast one can run it. If a fast one could but is full, the item waits for it.
@@ -125,6 +125,10 @@
 	Emptying    bool
 	EmptyingFor time.Duration
 	Skipped     bool
+	// Limited is set if the engine limits the rate at which it takes items; Permits is how
+	// many it takes now.
+	Limited bool
+	Permits int
 	// Groups counts the engine's runs by group. The runs of a group share a prompt.
 	Groups map[string]int
 }
@@ -142,7 +146,7 @@
 // accepting reports whether an engine accepts items.
 func (en Engine) accepting() bool {
 	probed := en.Probing && en.NotStarted > 0 // rule 5
-	return !probed && !en.BackingOff && !en.Loading && !en.Emptying
+	return !probed && !en.BackingOff && !en.Loading && !en.Emptying && (!en.Limited || en.Permits > 0)
 }
 
 // Item is an item that waits for an engine, or a running one that should move.
--- a/place/snapshot.go
+++ b/place/snapshot.go
@@ -37,6 +37,7 @@
 	sn.engines[at].Load += it.Load
 	sn.engines[at].Held += it.Tokens
 	sn.engines[at].NotStarted++
+	sn.engines[at].Permits--
 }
 
 // sortedPaces returns the paces of the engines for which it was measured, in ascending order.
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -12,8 +12,8 @@
 // together. Zero means that it named no limit.
 type Limit float64
 
-// minLimit is what a limit of zero or below it counts as. A request each five seconds
-// shows when the target has room again.
+// minLimit is what a lower limit counts as: a request each five seconds shows whether the
+// target has room again.
 const minLimit Limit = 0.2
 
 // NewLimit returns the limit for a number that a target named. It returns ok false for a
@@ -25,6 +25,11 @@
 	return max(Limit(perSecond), minLimit), true
 }
 
+// every returns the time between two requests at the given share of the limit.
+func (li Limit) every(share float64) time.Duration {
+	return time.Duration(float64(time.Second) / (float64(li) * share))
+}
+
 // Reading is what the head of a response says about its target's limit.
 type Reading struct {
 	// Limit is zero if the response names none.
@@ -41,8 +46,8 @@
 
 func incarnationOf(ta fleet.Target) incarnation { return incarnation{ta.ID, ta.StartedAt} }
 
-// Limits holds the limits of the targets as this entry knows them. It is safe for
-// concurrent use. The zero value is ready to use; a nil *Limits has no limits.
+// Limits holds the limits of the targets as this entry knows them, and its permits. It is
+// safe for concurrent use. The zero value is ready to use; a nil *Limits has no limits.
 type Limits struct {
 	// OnChange is called when the limit of a target changes, OnMalformed the first time
 	// that an incarnation names something that is no rate. Both may be nil; set them
@@ -52,14 +57,48 @@
 
 	mutex   sync.Mutex
 	targets map[incarnation]*state
+	// changed is closed when permits arrive or a limit changes; due has room for one and
+	// gets a value when there may be something to ask.
+	changed, due chan struct{}
 }
 
 // state is what is known about the limit of one incarnation.
 type state struct {
-	limit Limit
+	target fleet.Target
+	limit  Limit
 	// readAt is when the request was sent whose response the limit is from.
 	readAt    time.Time
 	malformed bool
+	// unreported is set until the issuer has been told of the limit.
+	unreported bool
+	permits    []permits
+	claims     map[string]claim
+	// asking is set while an Ask is under way. None is sent before nextAskAt.
+	asking    bool
+	nextAskAt time.Time
+	// permitAt is when the issuer expects to have a permit for this entry.
+	permitAt time.Time
+}
+
+// stateOf returns the state of a target. It creates it if needed.
+func (ls *Limits) stateOf(ta fleet.Target) *state {
+	if ls.targets == nil {
+		ls.targets, ls.changed = map[incarnation]*state{}, make(chan struct{})
+	}
+	st := ls.targets[incarnationOf(ta)]
+	if st == nil {
+		st = &state{target: ta, claims: map[string]claim{}}
+		ls.targets[incarnationOf(ta)] = st
+	}
+	return st
+}
+
+// limited returns the state of a target that has a limit, or nil.
+func (ls *Limits) limited(ta fleet.Target) *state {
+	if st := ls.targets[incarnationOf(ta)]; st != nil && st.limit > 0 {
+		return st
+	}
+	return nil
 }
 
 // Observe records what a response says about its target's limit. SentAt is when the request
@@ -78,17 +117,10 @@
 func (ls *Limits) observe(ta fleet.Target, sentAt time.Time, re Reading) (was Limit, changed, malformed bool) {
 	ls.mutex.Lock()
 	defer ls.mutex.Unlock()
-	st := ls.targets[incarnationOf(ta)]
-	if st == nil {
-		if re == (Reading{}) {
-			return 0, false, false
-		}
-		st = &state{}
-		if ls.targets == nil {
-			ls.targets = map[incarnation]*state{}
-		}
-		ls.targets[incarnationOf(ta)] = st
+	if ls.targets[incarnationOf(ta)] == nil && re == (Reading{}) {
+		return 0, false, false
 	}
+	st := ls.stateOf(ta)
 	if re.Malformed != "" {
 		malformed, st.malformed = !st.malformed, true
 		return st.limit, false, malformed
@@ -96,8 +128,43 @@
 	if sentAt.Before(st.readAt) {
 		return st.limit, false, false
 	}
-	was, st.limit, st.readAt = st.limit, re.Limit, sentAt
-	return was, was != re.Limit, false
+	st.readAt = sentAt
+	if st.limit == re.Limit {
+		return st.limit, false, false
+	}
+	was, st.unreported = st.limit, true
+	ls.setLimit(st, re.Limit)
+	return was, true, false
+}
+
+// setLimit replaces a limit. Permits were issued for the old one and lapse soon; those of
+// a limit that has ended are not needed.
+func (ls *Limits) setLimit(st *state, li Limit) {
+	st.limit, st.nextAskAt = li, time.Time{}
+	if li == 0 {
+		st.permits, st.claims = nil, map[string]claim{}
+	}
+	ls.signal()
+	ls.wake()
+}
+
+// signal wakes those that wait for a permit.
+func (ls *Limits) signal() {
+	close(ls.changed)
+	ls.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next change of limits or permits.
+func (ls *Limits) Changed() <-chan struct{} {
+	if ls == nil {
+		return nil
+	}
+	ls.mutex.Lock()
+	defer ls.mutex.Unlock()
+	if ls.changed == nil {
+		ls.targets, ls.changed = map[incarnation]*state{}, make(chan struct{})
+	}
+	return ls.changed
 }
 
 // Limit returns the limit of a target, zero if it named none.
@@ -107,7 +174,7 @@
 	}
 	ls.mutex.Lock()
 	defer ls.mutex.Unlock()
-	if st := ls.targets[incarnationOf(ta)]; st != nil {
+	if st := ls.limited(ta); st != nil {
 		return st.limit
 	}
 	return 0
--- a/runs/models.go
+++ b/runs/models.go
@@ -56,7 +56,7 @@
 
 // engineViews returns the engines of a service in the form that place expects. It
 // first updates which engines are being emptied.
-func (ow *Owner) engineViews(now time.Time, service, model string) []place.Engine {
+func (ow *Owner) engineViews(now time.Time, service, model string, priority int) []place.Engine {
 	var views []place.Engine
 	for _, en := range ow.engines {
 		served := ow.servedModels[en.target.Addr]
@@ -64,6 +64,7 @@
 		if en.target.Service == service && !en.target.Draining {
 			vi := en.view(now, model)
 			vi.Memory = ow.memory[service]
+			vi.Limited, vi.Permits = ow.Rates.Permits(now, en.target, priority)
 			vi.LoadingFor, vi.Loading = ow.loading(now, en.target.Addr)
 			vi.Model, vi.OtherModel = served, served != "" && served != model
 			vi.Stale = order.Stale(en.version(served), ow.announced[served])
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -44,6 +44,8 @@
 	Complete Ending = "whole"
 	// Refused: the engine did not run the item, since it is full or loads weights.
 	Refused Ending = "refused"
+	// Limited: the engine limits its rate and there was no permit; it was not asked.
+	Limited Ending = "limited"
 	// Misdirected: the address belongs to another target now.
 	Misdirected Ending = "moved"
 	// Failed: the engine ran the item and answered with an error.
--- a/runs/step.go
+++ b/runs/step.go
@@ -83,11 +83,13 @@
 // placeJob starts the waiting items of a job, and moves the runs that should move
 // to other engines.
 func (ow *Owner) placeJob(now time.Time, jo *job) {
-	snapshot := place.NewSnapshot(ow.engineViews(now, jo.service, jo.body.Model))
+	views := ow.engineViews(now, jo.service, jo.body.Model, jo.route.Priority)
+	snapshot := place.NewSnapshot(views)
 	queue := jo.queue(now, snapshot)
 	if len(queue) == 0 {
 		return
 	}
+	ow.claimPermits(now, jo, views, len(queue))
 	place.SortItems(queue)
 	if at, last, found := snapshot.Probe(queue); found {
 		ow.assign(now, jo, snapshot, at, queue[last])
@@ -100,6 +102,16 @@
 	}
 }
 
+// claimPermits claims permits of the engines that limit their rates, for as many items as
+// they have free slots.
+func (ow *Owner) claimPermits(now time.Time, jo *job, views []place.Engine, waiting int) {
+	for _, vi := range views {
+		if free := min(vi.Slots-vi.Running, waiting); vi.Limited && free > vi.Permits {
+			ow.Rates.Claim(now, ow.engines[vi.ID].target, jo.body.ID, jo.route.Priority, free)
+		}
+	}
+}
+
 // queue returns the items that wait for an engine and those that should move.
 func (jo *job) queue(now time.Time, snapshot *place.Snapshot) []place.Item {
 	var queue []place.Item
@@ -162,17 +174,21 @@
 		"version", en.version(jo.body.Model), "running", en.running, "pace", en.pace)
 	ow.Meters.Count("runs-begun", jo.route.Name, 1)
 	go func() {
-		out := ow.run(ctx, target, rq, func(ev Event) { ru.add(ow.Clock.Now(), ev) })
+		out := ow.run(ctx, target, rq, jo.route.Priority, func(ev Event) { ru.add(ow.Clock.Now(), ev) })
 		cancel()
 		ow.Loop.Post(func() { ow.runEnded(ru, out) })
 	}()
 }
 
-// run runs an item, unless its engine announced since it was chosen that it leaves.
-func (ow *Owner) run(ctx context.Context, ta fleet.Target, rq Request, event func(Event)) Outcome {
+// run runs an item, unless its engine announced since it was chosen that it leaves. It takes
+// the permit that an engine with a limited rate requires.
+func (ow *Owner) run(ctx context.Context, ta fleet.Target, rq Request, priority int, event func(Event)) Outcome {
 	if ow.Departures.Departing(ta) {
 		return Outcome{Ending: Refused, Detail: "the target is leaving"}
 	}
+	if !ow.Rates.Take(ow.Clock.Now(), ta, priority) {
+		return Outcome{Ending: Limited, Detail: "no permit"}
+	}
 	if ow.Rates.Limit(ta) > 0 {
 		ow.Meters.Count("limited-requests", ta.ID, 1)
 	}
@@ -188,7 +204,7 @@
 			return
 		}
 	}
-	views := ow.engineViews(now, jo.service, jo.body.Model)
+	views := ow.engineViews(now, jo.service, jo.body.Model, jo.route.Priority)
 	for _, at := range place.ChooseForLoad(views, jo.body.Model, jo.body.MinVersion, announced) {
 		en := ow.engines[views[at].ID]
 		en.emptiedAt = now
@@ -239,7 +255,7 @@
 // recordOutcome updates the backoff of the engine after a run.
 func (ow *Owner) recordOutcome(now time.Time, en *engine, ru *run, out Outcome, events int) {
 	switch {
-	case ru.superseded || ru.job.dropped:
+	case ru.superseded || ru.job.dropped || out.Ending == Limited:
 		return
 	case out.Ending == Complete:
 		en.interruptions, en.refusals = 0, 0
--- a/wire/wireconnect/wire.connect.go
+++ b/wire/wireconnect/wire.connect.go
@@ -30,6 +30,8 @@
 	TableServiceName = "bilberryshelf.wire.TableService"
 	// JobServiceName is the fully-qualified name of the JobService service.
 	JobServiceName = "bilberryshelf.wire.JobService"
+	// QuotaServiceName is the fully-qualified name of the QuotaService service.
+	QuotaServiceName = "bilberryshelf.wire.QuotaService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -56,6 +58,8 @@
 	TableServiceListProcedure = "/bilberryshelf.wire.TableService/List"
 	// JobServiceStartProcedure is the fully-qualified name of the JobService's Start RPC.
 	JobServiceStartProcedure = "/bilberryshelf.wire.JobService/Start"
+	// QuotaServicePermitsProcedure is the fully-qualified name of the QuotaService's Permits RPC.
+	QuotaServicePermitsProcedure = "/bilberryshelf.wire.QuotaService/Permits"
 )
 
 // GuardServiceClient is a client for the bilberryshelf.wire.GuardService service.
@@ -485,3 +489,77 @@
 func (UnimplementedJobServiceHandler) Start(context.Context, *wire.StartRequest) (*wire.StartResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bilberryshelf.wire.JobService.Start is not implemented"))
 }
+
+// QuotaServiceClient is a client for the bilberryshelf.wire.QuotaService service.
+type QuotaServiceClient interface {
+	Permits(context.Context, *wire.PermitsRequest) (*wire.PermitsResponse, error)
+}
+
+// NewQuotaServiceClient constructs a client for the bilberryshelf.wire.QuotaService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewQuotaServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) QuotaServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	quotaServiceMethods := wire.File_wire_wire_proto.Services().ByName("QuotaService").Methods()
+	return &quotaServiceClient{
+		permits: connect.NewClient[wire.PermitsRequest, wire.PermitsResponse](
+			httpClient,
+			baseURL+QuotaServicePermitsProcedure,
+			connect.WithSchema(quotaServiceMethods.ByName("Permits")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// quotaServiceClient implements QuotaServiceClient.
+type quotaServiceClient struct {
+	permits *connect.Client[wire.PermitsRequest, wire.PermitsResponse]
+}
+
+// Permits calls bilberryshelf.wire.QuotaService.Permits.
+func (c *quotaServiceClient) Permits(ctx context.Context, req *wire.PermitsRequest) (*wire.PermitsResponse, error) {
+	response, err := c.permits.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// QuotaServiceHandler is an implementation of the bilberryshelf.wire.QuotaService service.
+type QuotaServiceHandler interface {
+	Permits(context.Context, *wire.PermitsRequest) (*wire.PermitsResponse, error)
+}
+
+// NewQuotaServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewQuotaServiceHandler(svc QuotaServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	quotaServiceMethods := wire.File_wire_wire_proto.Services().ByName("QuotaService").Methods()
+	quotaServicePermitsHandler := connect.NewUnaryHandlerSimple(
+		QuotaServicePermitsProcedure,
+		svc.Permits,
+		connect.WithSchema(quotaServiceMethods.ByName("Permits")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/bilberryshelf.wire.QuotaService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case QuotaServicePermitsProcedure:
+			quotaServicePermitsHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedQuotaServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedQuotaServiceHandler struct{}
+
+func (UnimplementedQuotaServiceHandler) Permits(context.Context, *wire.PermitsRequest) (*wire.PermitsResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bilberryshelf.wire.QuotaService.Permits is not implemented"))
+}
