--- a/calls/stream.go
+++ b/calls/stream.go
@@ -89,7 +89,7 @@
 			return err
 		}
 		if st.begun && repeatable(st.re.Route) {
-			logs.Info(st.fo.Logger, "stream resumed elsewhere", "id", st.re.ID, "from", ta.ID, "after", st.lastEventID,
+			logs.Info(st.fo.Logger, "stream resumed elsewhere", "id", st.re.ID, "from", ta.ID, "software", ta.Software, "after", st.lastEventID,
 				"silent", st.fo.Clock.Now().Sub(st.lastEventAt), "code", err.Code, "text", err.Text)
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -25,8 +25,12 @@
 	// equality.
 	StartedAt int64
 	Service   string
-	Addr      string
-	Domain    string
+	// Software is the version of the target's software, not of its weights. Targets of
+	// several versions may serve side by side; a text begun by one can't be continued by
+	// another.
+	Software string
+	Addr     string
+	Domain   string
 	// Distance is how far the target is from the instance that uses it.
 	Distance Distance
 	// Slots is the number of requests that the target runs at once.
--- a/runs/step.go
+++ b/runs/step.go
@@ -171,7 +171,8 @@
 	en.groups[it.item.Group]++
 	rq, target := Request{Job: jo.body, Item: it.item, After: len(it.events)}, en.target
 	logs.Info(ow.Logger, "run begun", "job", jo.body.ID, "id", it.item.ID, "engine", en.target.ID, "after", rq.After,
-		"version", en.version(jo.body.Model), "running", en.running, "pace", en.pace)
+		"version", en.version(jo.body.Model), "running", en.running, "pace", en.pace,
+		"software", en.target.Software)
 	ow.Meters.Count("runs-begun", jo.route.Name, 1)
 	go func() {
 		out := ow.run(ctx, target, rq, jo.route.Priority, func(ev Event) { ru.add(ow.Clock.Now(), ev) })
