place, runs, batch: a text continues only on the software version that began it

Cause: no place that continues an item's text knew what began it: a move, an interruption, a stored text after an adoption or from the job before.

Change: a text carries the software version of the engine that began it, in memory and in the store. It goes on at that version only; it waits a second for one of its engines, and begins anew (a line 'text begun anew', a counter) if none serves any more or none takes it. A run that is emptied or slow stays where it is if its version has no room; a stalled one leaves after a second. Stored texts that no version served can continue, or that name none (written by an older build), are not taken up unless complete. A target that is listed with other software is another engine, also under the same id.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -171,6 +171,8 @@
 	Complete bool `cbor:"4,keyasint"`
 	// Step is the step of the job for which the text was generated.
 	Step int `cbor:"5,keyasint"`
+	// Software is the version of the software of the engines that generated it.
+	Software string `cbor:"6,keyasint,omitempty"`
 	// Rows are the rows that hold the text; not part of the stored value.
 	Rows []table.ID `cbor:"-"`
 }
--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -52,6 +52,10 @@
 	concurrent int
 	// generated counts the events of each item over all its runs.
 	generated map[string]int
+	// software maps a target to the version of its software; origins holds, for each item,
+	// the versions that generated the events from the last beginning on.
+	software *sync.Map
+	origins  map[string]map[string]bool
 }
 
 // length returns the number of events of an item; about one in seven is long.
@@ -93,6 +97,8 @@
 	if ending != "" {
 		return runs.Outcome{Ending: ending, Detail: "configured to fail"}
 	}
+	software, _ := en.software.Load(ta.ID)
+	name, _ := software.(string)
 	for at := rq.After + 1; at <= length(id); at++ {
 		en.mutex.Lock()
 		stalled := en.stalled[ta.ID] || (hangs && at > 1)
@@ -107,6 +113,10 @@
 		case <-pause:
 			en.mutex.Lock()
 			en.generated[id]++
+			if at == 1 || en.origins[id] == nil {
+				en.origins[id] = map[string]bool{}
+			}
+			en.origins[id][name] = true
 			en.mutex.Unlock()
 			event(runs.Event{Data: fmt.Sprintf("%s-%d", id, at), Version: version})
 		}
@@ -268,6 +278,8 @@
 	startedAt atomic.Int64
 	// limits maps a target to the quota.Limit that it names.
 	limits sync.Map
+	// software maps a target to the version of its software, as the registry lists it.
+	software sync.Map
 }
 
 var route = conf.Route{
@@ -295,6 +307,9 @@
 		Version: func(table.Row) (string, uint64, bool, error) { return "", 0, false, nil },
 		Target: func(ro table.Row) (fleet.Target, error) {
 			ta := fleet.Target{ID: ro.ID.Key, Addr: ro.ID.Key, Slots: 12, Service: "desk", StartedAt: cl.startedAt.Load()}
+			if software, found := cl.software.Load(ro.ID.Key); found {
+				ta.Software = software.(string)
+			}
 			if strings.HasPrefix(ro.ID.Key, "lm") {
 				ta.Service, ta.Models = "lm", map[string]uint64{"m": 1}
 			}
@@ -309,6 +324,7 @@
 		t: t, rows: &fake.Rows{}, sender: &sender{failing: map[string]bool{}, calls: map[string]int{}},
 		engines: &engines{version: 1, runs: map[string]int{}, running: map[string]int{}, fail: map[string]runs.Ending{}, stalled: map[string]bool{}, generated: map[string]int{}},
 	}
+	cl.engines.software, cl.engines.origins = &cl.software, map[string]map[string]bool{}
 	cl.put(operatorTable, "config")
 	for _, id := range []string{"lm1", "lm2", "lm3", "desk1", "desk2"} {
 		cl.put(targetTable, id)
@@ -325,6 +341,24 @@
 	require.NoError(cl.t, err)
 }
 
+func (cl *cluster) drop(name, key string) {
+	_, err := cl.rows.Commit(context.Background(), table.Tx{Drops: []table.ID{{Table: name, Key: key}}})
+	require.NoError(cl.t, err)
+}
+
+// live returns the index of an entry that runs.
+func (cl *cluster) live() int {
+	for at, ended := range cl.ended {
+		select {
+		case <-ended:
+		default:
+			return at
+		}
+	}
+	cl.t.Fatal("no entry runs")
+	return 0
+}
+
 // starter returns a client of the entry at an inner address.
 func (cl *cluster) starter(addr string) intake.Starter {
 	at, err := strconv.Atoi(strings.TrimPrefix(addr, "n"))
--- a/place/place.go
+++ b/place/place.go
@@ -50,6 +50,10 @@
 //     slots and empty them for loads.
 //  9. A slow engine without a recent measurement is probed with the shortest
 //     waiting item, so that no long item is used to measure it.
+//  10. A text continues only on an engine of the software version that began it: what two
+//     versions generate does not fit together. It begins anew on any engine if no
+//     engine of that version serves any more, or none of them took the item within
+//     ContinuePatience.
 package place
 
 import (
@@ -78,11 +82,16 @@
 	// LongRun is the expected time from which a run is long: its engine, not the order of
 	// the queue, decides when its step ends.
 	LongRun = 2500 * time.Millisecond
+	// ContinuePatience is how long an item waits for an engine that can continue its text.
+	// Most texts are generated anew in about that time.
+	ContinuePatience = time.Second
 )
 
 // Engine describes an engine as the owner of a job sees it.
 type Engine struct {
 	ID string
+	// Software is the version of the engine's software.
+	Software string
 	// Distance is the network distance between the engine and the owner.
 	Distance fleet.Distance
 	Slots    int
@@ -164,6 +173,10 @@
 	Tokens int
 	// MinVersion is the oldest permitted version.
 	MinVersion uint64
+	// Software is the version of the software that began the text; empty if it has no
+	// events. Waited is how long the item has waited for an engine, or a run for an event.
+	Software string
+	Waited   time.Duration
 	// Avoid is the engine that the item moved from or should move from, if any.
 	Avoid string
 	// MoveReason is why the item should move from the engine that runs it; empty for
--- a/place/snapshot.go
+++ b/place/snapshot.go
@@ -105,7 +105,7 @@
 // it, now or once a slot is free (rule 8).
 func (sn *Snapshot) hasOwnModelEngine(it Item) bool {
 	return slices.ContainsFunc(sn.engines, func(en Engine) bool {
-		return !en.OtherModel && en.Version >= it.MinVersion && !en.BackingOff && !en.Loading
+		return !en.OtherModel && en.continues(it) && en.Version >= it.MinVersion && !en.BackingOff && !en.Loading
 	})
 }
 
@@ -125,7 +125,19 @@
 // canRun reports whether an engine may run an item, regardless of free slots and
 // pace.
 func (fi filter) canRun(en Engine, it Item) bool {
-	return en.accepting() && en.Version >= it.MinVersion && (fi.otherModel || !en.OtherModel) && (fi.stale || !en.Stale)
+	return en.accepting() && en.continues(it) && en.Version >= it.MinVersion && (fi.otherModel || !en.OtherModel) && (fi.stale || !en.Stale)
+}
+
+// continues reports whether an engine can continue the text of an item (rule 10).
+func (en Engine) continues(it Item) bool { return it.Software == "" || en.Software == it.Software }
+
+// BeginsAnew reports whether an item for which Choose found no engine gives up its text
+// (rule 10).
+func (sn *Snapshot) BeginsAnew(it Item) bool {
+	if it.Software == "" || (it.MoveReason != "" && it.MoveReason != Stalled) {
+		return false
+	}
+	return it.Waited >= ContinuePatience || !slices.ContainsFunc(sn.engines, func(en Engine) bool { return en.continues(it) })
 }
 
 // eligible reports whether a fast engine has a free slot for an item.
--- a/runs/engine.go
+++ b/runs/engine.go
@@ -41,7 +41,7 @@
 
 func (en *engine) view(now time.Time, model string) place.Engine {
 	vi := place.Engine{
-		ID: en.target.ID, Distance: en.target.Distance, Slots: en.target.Slots, Running: en.running,
+		ID: en.target.ID, Software: en.target.Software, Distance: en.target.Distance, Slots: en.target.Slots, Running: en.running,
 		Version: en.version(model), Pace: en.pace, PaceStale: now.Sub(en.paceAt) > maxPaceAge, BackingOff: now.Before(en.backoffUntil), Groups: en.groups,
 		Probing: en.refusals > 0, Emptying: !en.emptiedAt.IsZero(), Skipped: now.Before(en.skipUntil),
 	}
@@ -90,7 +90,7 @@
 			}
 			registered[ta.ID] = true
 			en := ow.engines[ta.ID]
-			if en == nil || en.target.StartedAt != ta.StartedAt || en.target.Addr != ta.Addr {
+			if en == nil || !sameEngine(en.target, ta) {
 				en = newEngine(ta)
 				ow.engines[ta.ID] = en
 			}
@@ -106,6 +106,11 @@
 	})
 }
 
+// sameEngine reports whether two entries of the registry describe the same engine.
+func sameEngine(lhs, rhs fleet.Target) bool {
+	return lhs.StartedAt == rhs.StartedAt && lhs.Addr == rhs.Addr && lhs.Software == rhs.Software
+}
+
 // cancelRuns cancels the runs of an engine that is no longer registered.
 func (en *engine) cancelRuns() {
 	for ru := range en.runs {
@@ -125,6 +130,8 @@
 	// it.
 	superseded bool
 	startedAt  time.Time
+	// software is the version of the engine's software.
+	software string
 
 	mutex  sync.Mutex
 	events []Event
--- a/runs/job_test.go
+++ b/runs/job_test.go
@@ -34,11 +34,12 @@
 
 func TestAppendEvents(t *testing.T) {
 	it := &item{}
-	it.appendEvents([]Event{{Data: "a", Version: 2}, {Data: "b", Version: 3}}, 2)
+	it.appendEvents([]Event{{Data: "a", Version: 2}, {Data: "b", Version: 3}}, "v1", 2)
 	require.Equal(t, []string{"a", "b"}, it.events)
-	it.appendEvents([]Event{{Data: "c", Version: 3}, {Data: "d", Version: 1}}, 2)
+	it.appendEvents([]Event{{Data: "c", Version: 3}, {Data: "d", Version: 1}}, "v1", 2)
 	require.Equal(t, []string{"a", "b"}, it.events, "the run is discarded if one event is of older weights")
 	require.Equal(t, []uint64{2, 3}, it.versions)
+	require.Equal(t, "v1", it.software)
 }
 
 func TestReuse(t *testing.T) {
@@ -60,6 +61,8 @@
 		{"a text for a waiting item", text(20, 2), 0, waiting, 20},
 		{"a text that is only a little longer", text(8, 2), 5, running, 0},
 		{"a text of older weights", text(20, 1), 5, running, 0},
+		{"a text of software that no longer serves", batch.Partial{Events: text(20, 2).Events, Versions: text(20, 2).Versions, Software: "v0"}, 5, running, 0},
+		{"a complete text of such software", batch.Partial{Events: text(20, 2).Events, Versions: text(20, 2).Versions, Software: "v0", Complete: true}, 5, running, 20},
 		{"a text for an item that is scored", text(20, 2), 0, scoring, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -69,7 +72,7 @@
 				runOn(it, newEngine(fleet.Target{ID: "e"}), tc.runEvents)
 			}
 			it.state = tc.state
-			jo.reuse(map[string]batch.Partial{it.item.ID: tc.stored})
+			jo.reuse(map[string]batch.Partial{it.item.ID: tc.stored}, func(software string) bool { return software == "" })
 			require.Len(t, it.events, tc.want)
 			require.Equal(t, tc.want > 0, it.resumed)
 		})
--- a/runs/lifecycle.go
+++ b/runs/lifecycle.go
@@ -44,7 +44,7 @@
 // owner saved. The items run in the meantime. An item whose text is shorter than
 // the saved one continues from the latter.
 func (ow *Owner) loadPartials(jo *job) {
-	jo.reuse(ow.routePartials[jo.route.Name])
+	jo.reuse(ow.routePartials[jo.route.Name], ow.continuable(jo))
 	ow.resumeItems(jo)
 	wanted := map[string]bool{}
 	for _, it := range jo.items {
@@ -59,7 +59,7 @@
 				logs.Warn(ow.Logger, "partial texts not read, items start from the beginning", "id", jo.body.ID, "from", from, "err", err)
 			}
 			ow.Loop.Post(func() {
-				if used := jo.reuse(stored); used > 0 && !jo.dropped {
+				if used := jo.reuse(stored, ow.continuable(jo)); used > 0 && !jo.dropped {
 					logs.Info(ow.Logger, "partial texts reused", "id", jo.body.ID, "from", from, "items", used)
 					ow.resumeItems(jo)
 				}
@@ -68,6 +68,18 @@
 	}()
 }
 
+// continuable returns a function that reports whether an engine of a software version
+// serves the job's service. While no engine is known, each version may be served.
+func (ow *Owner) continuable(jo *job) func(software string) bool {
+	known, served := false, map[string]bool{}
+	for _, en := range ow.engines {
+		if en.target.Service == jo.service && !en.target.Draining {
+			known, served[en.target.Software] = true, true
+		}
+	}
+	return func(software string) bool { return !known || served[software] }
+}
+
 // resumeItems has the items with complete texts scored and places the others.
 func (ow *Owner) resumeItems(jo *job) {
 	for _, it := range jo.items {
@@ -128,7 +140,7 @@
 	for _, it := range jo.items {
 		jo.obsoleteRows = append(jo.obsoleteRows, it.rows...)
 		if it.run != nil {
-			it.appendEvents(it.run.finish(), jo.body.MinVersion)
+			it.appendEvents(it.run.finish(), it.run.software, jo.body.MinVersion)
 			it.run.cancel()
 			it.run = nil
 		}
--- a/runs/step.go
+++ b/runs/step.go
@@ -96,7 +96,12 @@
 		queue = queue[:last]
 	}
 	for _, wi := range queue {
-		if at := snapshot.Choose(wi); at >= 0 {
+		at := snapshot.Choose(wi)
+		if at < 0 && snapshot.BeginsAnew(wi) {
+			wi.Software = ""
+			at = snapshot.Choose(wi)
+		}
+		if at >= 0 {
 			ow.assign(now, jo, snapshot, at, wi)
 		}
 	}
@@ -118,14 +123,14 @@
 	for at, it := range jo.items {
 		wi := place.Item{
 			Index: at, Group: it.item.Group, Required: it.resumed, RemainingEvents: it.remainingEvents(), Load: it.load(0), Tokens: it.item.PromptTokens + it.outputTokens(),
-			MinVersion: jo.body.MinVersion, Avoid: it.avoid,
+			MinVersion: jo.body.MinVersion, Avoid: it.avoid, Software: it.requiredSoftware(), Waited: now.Sub(latest(it.waitingSince, jo.receivedAt)),
 		}
 		switch {
 		case it.state == waiting && !now.Before(it.notBefore):
 			queue = append(queue, wi)
 		case it.run != nil && !it.run.superseded:
 			last, version := it.run.progress()
-			wi.Avoid = it.run.engine.target.ID
+			wi.Avoid, wi.Waited = it.run.engine.target.ID, now.Sub(last)
 			wi.MoveReason = snapshot.MoveReason(place.Run{
 				Engine: wi.Avoid, SinceLastEvent: now.Sub(last), Started: version > 0, RemainingEvents: wi.RemainingEvents, Slack: jo.slack(now),
 			})
@@ -137,6 +142,13 @@
 	return queue
 }
 
+func latest(lhs, rhs time.Time) time.Time {
+	if lhs.After(rhs) {
+		return lhs
+	}
+	return rhs
+}
+
 // assign assigns an item to an engine. A waiting item is started. A running one is
 // canceled, and is placed again when its run has ended.
 func (ow *Owner) assign(now time.Time, jo *job, snapshot *place.Snapshot, at int, wi place.Item) {
@@ -148,7 +160,7 @@
 	}
 	ru := it.run
 	last, _ := ru.progress()
-	ru.superseded, it.avoid = true, wi.Avoid
+	ru.superseded, it.avoid, it.beginsAnew = true, wi.Avoid, wi.Software != it.requiredSoftware()
 	ru.cancel()
 	ow.Meters.Count("runs-moved", string(wi.MoveReason), 1)
 	logs.Info(ow.Logger, "run moved", "job", jo.body.ID, "id", it.item.ID, "engine", wi.Avoid, "why", wi.MoveReason,
@@ -157,11 +169,18 @@
 
 // startRun starts an item on an engine.
 func (ow *Owner) startRun(now time.Time, jo *job, it *item, en *engine) {
+	if len(it.events) > 0 && it.software != en.target.Software {
+		logs.Info(ow.Logger, "text begun anew", "job", jo.body.ID, "id", it.item.ID, "events", len(it.events), "software", it.software,
+			"engine", en.target.ID, "waited", now.Sub(latest(it.waitingSince, jo.receivedAt)))
+		ow.Meters.Count("texts-begun-anew", jo.route.Name, 1)
+		it.reset()
+	}
 	if jo.route.SingleVersion {
 		it.reset()
 	}
+	it.beginsAnew = false
 	ctx, cancel := context.WithCancel(ow.ctx)
-	ru := &run{engine: en, job: jo, item: it, cancel: cancel, startedAt: now}
+	ru := &run{engine: en, job: jo, item: it, cancel: cancel, startedAt: now, software: en.target.Software}
 	it.state, it.run = running, ru
 	if it.runCount++; it.runCount == 1 {
 		it.firstRunAge = jo.known.Head.Age(now)
@@ -231,8 +250,8 @@
 	}
 	it.run = nil
 	before := len(it.events)
-	it.appendEvents(events, jo.body.MinVersion)
-	it.state = waiting
+	it.appendEvents(events, ru.software, jo.body.MinVersion)
+	it.state, it.waitingSince = waiting, now
 	switch {
 	case it.complete: // a stored text was read in the meantime
 		ow.textComplete(jo, it)
