calls, intake, member, platform: a stream goes on only at the software version that began it

What callers would get: events of two versions in one stream, after a cut within the response as well as when they take it up at another entry.

Change: within one response the choice keeps to the software of the first target. The origin of each resumable stream (service, software) is kept by its entry and, before the caller has the first event, sent to two others by rendezvous over the failure domains, since an entry's streams are resumed just when it died. A resumption asks the first entries of all domains. If the origin isn't known and the service had one version in the last two minutes, the stream goes on there; with several the caller is refused at once (unknown-origin, 503, with Retry-After): a fresh beginning wouldn't fit its events, waiting wouldn't find the origin. A version that is gone: refused at once, within a response after two seconds without an event, as before.

The product's own path needs nothing: it always runs a request anew and compares what was sent already byte for byte (entry/reply.go).

--- a/boot/node.go
+++ b/boot/node.go
@@ -63,6 +63,9 @@
 		Issuer: func(addr string) intake.Issuer {
 			return wireconnect.NewQuotaServiceClient(inner, "http://"+addr, connect.WithReadMaxBytes(wire.MaxMessageBytes))
 		},
+		Origins: func(addr string) intake.OriginClient {
+			return wireconnect.NewOriginServiceClient(inner, "http://"+addr, connect.WithReadMaxBytes(wire.MaxMessageBytes))
+		},
 	}, intake.Decoders{
 		OperatorTable: platform.OperatorTable, TargetTable: platform.TargetTable,
 		Config: platform.DecodeConfig, Target: platform.DecodeTarget, Version: platform.DecodeVersion,
@@ -72,6 +75,7 @@
 	mux.Handle(wireconnect.NewTableServiceHandler(relay.Service{Direct: store}, connect.WithReadMaxBytes(wire.MaxMessageBytes)))
 	mux.Handle(wireconnect.NewJobServiceHandler(en, connect.WithReadMaxBytes(wire.MaxMessageBytes)))
 	mux.Handle(wireconnect.NewQuotaServiceHandler(en, connect.WithReadMaxBytes(wire.MaxMessageBytes)))
+	mux.Handle(wireconnect.NewOriginServiceHandler(en, connect.WithReadMaxBytes(wire.MaxMessageBytes)))
 	return newDaemon(en, map[string]http.Handler{
 		se.Listen.Callers: handler, se.Listen.Readiness: handler, se.Listen.Inner: mux, se.Listen.Metrics: metricsHandler(me),
 	})
--- a/calls/balancer.go
+++ b/calls/balancer.go
@@ -54,14 +54,24 @@
 	mutex    sync.Mutex
 	services map[string][]fleet.Target
 	stats    map[string]*targetStats
+	software fleet.SoftwareHistory
+}
+
+// onlySoftware returns the software version that served a service lately if there was just
+// one.
+func (ba *Balancer) onlySoftware(service string) (software string, ok bool) {
+	ba.mutex.Lock()
+	defer ba.mutex.Unlock()
+	return ba.software.Only(service)
 }
 
 // Update replaces the list of targets and returns the ids of those that are no
 // longer in it.
-func (ba *Balancer) Update(all []fleet.Target) (removed []string) {
+func (ba *Balancer) Update(now time.Time, all []fleet.Target) (removed []string) {
 	services, stats := map[string][]fleet.Target{}, map[string]*targetStats{}
 	ba.mutex.Lock()
 	defer ba.mutex.Unlock()
+	ba.software.Update(now, all)
 	for _, ta := range all {
 		ts := ba.stats[ta.ID]
 		if ts == nil {
@@ -84,9 +94,11 @@
 // pickTarget returns the less loaded of two random targets of the best class that has
 // any, without those already tried (rule 1).
 //
+// A software version other than empty excludes the targets of other versions.
+//
 // Permits returns whether a target limits its rate and the number of permits at hand.
 // Without a permit such a target is not chosen but returned as limited.
-func (ba *Balancer) pickTarget(now time.Time, service string, tried []string, permits func(fleet.Target) (bool, int), intN func(int) int) (
+func (ba *Balancer) pickTarget(now time.Time, service, software string, tried []string, permits func(fleet.Target) (bool, int), intN func(int) int) (
 	ta fleet.Target, limited []fleet.Target, found bool,
 ) {
 	ba.mutex.Lock()
@@ -94,7 +106,7 @@
 	var classes [classCount][]fleet.Target
 	mean := ba.meanLatency(service)
 	for _, ta := range ba.services[service] {
-		if slices.Contains(tried, ta.ID) {
+		if slices.Contains(tried, ta.ID) || (software != "" && ta.Software != software) {
 			continue
 		}
 		cl := ba.class(now, ta, mean)
--- a/calls/calls.go
+++ b/calls/calls.go
@@ -33,6 +33,9 @@
 //     right before the request is sent. Other targets are preferred. If no other target
 //     can take the request it waits for a permit, at most for its Patience; if none is
 //     expected by then, it is refused at once.
+//  12. A stream goes on only at the software version that began it, also when its caller
+//     resumes it at another entry. If that version is not known and several served lately,
+//     the caller is refused, since no event of another version would fit.
 package calls
 
 import (
@@ -89,6 +92,9 @@
 	Patience time.Duration
 	// LastEventID is the id of the last event of a stream that the caller received.
 	LastEventID int
+	// Resumes is the id of the caller's request that got the first event of the stream;
+	// empty if the caller did not say.
+	Resumes string
 }
 
 // Response is the complete response of a target.
@@ -129,6 +135,8 @@
 	Departures *fleet.Departures
 	// Rates holds the limits that targets named; nil means none.
 	Rates *quota.Limits
+	// Origins is optional; without it only streams of this entry go on.
+	Origins Origins
 }
 
 // outcome is the result of one attempt.
@@ -145,6 +153,9 @@
 	re      Request
 	service string
 	digest  uint64
+	// software is the only version of the targets' software that may be chosen; empty
+	// means any.
+	software string
 	// asked are the targets of all attempts, tried those that must not be chosen again.
 	asked    []string
 	tried    []string
@@ -249,7 +260,7 @@
 		return fleet.Target{}, false
 	}
 	now := fo.Clock.Now()
-	ta, limited, found := fo.Balancer.pickTarget(now, at.service, at.tried, func(ta fleet.Target) (bool, int) {
+	ta, limited, found := fo.Balancer.pickTarget(now, at.service, at.software, at.tried, func(ta fleet.Target) (bool, int) {
 		return fo.Rates.Permits(now, ta, at.re.Route.Priority)
 	}, fo.IntN)
 	if !found {
--- a/calls/calls_test.go
+++ b/calls/calls_test.go
@@ -87,7 +87,7 @@
 func newForwarder(ts *fakeTargets, count int) *calls.Forwarder {
 	ts.active = map[string]int{}
 	ba := &calls.Balancer{}
-	ba.Update(testTargets(count))
+	ba.Update(time.Now(), testTargets(count))
 	rng := rand.New(rand.NewPCG(1, 2))
 	var mutex sync.Mutex
 	return &calls.Forwarder{
@@ -231,7 +231,7 @@
 			ts.behaviors[all[at].ID] = behavior{wait: 100 * time.Millisecond}
 		}
 		all[0].Distance, all[1].Distance = fleet.OtherRegion, fleet.OtherRegion
-		fo.Balancer.Update(all)
+		fo.Update(all)
 		for range 10 {
 			_, err := fo.Do(context.Background(), request(conf.NonIdempotent, time.Second))
 			require.Nil(t, err)
--- a/calls/latency_test.go
+++ b/calls/latency_test.go
@@ -34,7 +34,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const delay = 500 * time.Millisecond
 		ba := &Balancer{}
-		ba.Update([]fleet.Target{{ID: "t0", Service: "lm", Slots: 6}})
+		ba.Update(time.Now(), []fleet.Target{{ID: "t0", Service: "lm", Slots: 6}})
 		fo := &Forwarder{
 			Streamer: emptyStreamer{delay}, Clock: core.SystemClock{}, Logger: log.NewNopLogger(), Meters: &meter.Set{},
 			Balancer: ba, IntN: func(int) int { return 0 },
--- /dev/null
+++ b/calls/origin_test.go
@@ -0,0 +1,133 @@
+package calls_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/calls"
+	"bilberryshelf/conf"
+	"bilberryshelf/core"
+	"bilberryshelf/fleet"
+)
+
+// originMap is calls.Origins without other entries.
+type originMap map[string]calls.Origin
+
+func (om originMap) Record(id string, or calls.Origin) { om[id] = or }
+
+func (om originMap) Find(_ context.Context, id string) (calls.Origin, bool) {
+	or, found := om[id]
+	return or, found
+}
+
+// listSoftware has the forwarder know targets t1, t2 ... with these software versions.
+func listSoftware(fo *calls.Forwarder, versions ...string) map[string]string {
+	var all []fleet.Target
+	byID := map[string]string{}
+	for at, software := range versions {
+		ta := fleet.Target{ID: "t" + string(rune('1'+at)), Service: "desk", Software: software, Slots: 6}
+		byID[ta.ID], all = software, append(all, ta)
+	}
+	fo.Update(all)
+	return byID
+}
+
+// A stream that was cut on one software version went on at another one within the same
+// response.
+func TestStreamGoesOnAtOtherSoftware(t *testing.T) {
+	cut := core.InDoubt(core.CodeAnswerCut, "cut")
+	synctest.Test(t, func(t *testing.T) {
+		for range 20 {
+			sr := &fakeStreamer{attempts: []streamAttempt{{events: 2, err: cut}, {events: 1, err: cut}, {events: 2}}}
+			fo := newForwarder(&fakeTargets{}, 0)
+			fo.Streamer = sr
+			byID := listSoftware(fo, "v1", "v2", "v1", "v2", "v1", "v2")
+			re := request(conf.Stream, 10*time.Second)
+			re.Route.Resumable, re.Route.Attempts = true, 3
+			si := sink{}
+			require.Nil(t, fo.Stream(context.Background(), re, &si))
+			require.Equal(t, "1 2 3 4 5 ", si.text.String())
+			require.Equal(t, byID[sr.requested[0]], byID[sr.requested[1]])
+			require.Equal(t, byID[sr.requested[0]], byID[sr.requested[2]])
+		}
+	})
+}
+
+// A stream that its caller resumes went on at any version.
+func TestCallerResumesAtOtherSoftware(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		versions []string
+		resumes  string
+		want     string
+		code     core.Code
+	}{
+		{"at the version that began it", []string{"v1", "v2", "v2", "v2"}, "first", "v1", ""},
+		{"that version is gone", []string{"v2", "v2"}, "first", "", core.CodeFull},
+		{"not known, one version", []string{"v2", "v2"}, "other", "v2", ""},
+		{"not named, one version", []string{"v2", "v2"}, "", "v2", ""},
+		{"not known, two versions", []string{"v1", "v2"}, "other", "", core.CodeUnknownOrigin},
+		{"not named, two versions", []string{"v1", "v2"}, "", "", core.CodeUnknownOrigin},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				for range 10 {
+					sr := &fakeStreamer{attempts: []streamAttempt{{events: 2}}}
+					fo := newForwarder(&fakeTargets{}, 0)
+					fo.Streamer, fo.Origins = sr, originMap{"first": {Service: "desk", Software: "v1"}}
+					byID := listSoftware(fo, tc.versions...)
+					re := request(conf.Stream, 10*time.Second)
+					re.Route.Resumable, re.LastEventID, re.Resumes = true, 3, tc.resumes
+					started := time.Now()
+					err := fo.Stream(context.Background(), re, &sink{})
+					if tc.code != "" {
+						require.NotNil(t, err)
+						require.Equal(t, tc.code, err.Code)
+						require.Equal(t, core.NotRun, err.Verdict)
+						require.Positive(t, err.RetryAfter)
+						require.Zero(t, time.Since(started), "refused at once")
+						require.Empty(t, sr.requested)
+						continue
+					}
+					require.Nil(t, err)
+					require.Equal(t, tc.want, byID[sr.requested[0]])
+				}
+			})
+		})
+	}
+}
+
+// The origin is recorded before the caller has the first event, and only for new streams.
+func TestOriginRecordedTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		known := originMap{}
+		fo := newForwarder(&fakeTargets{}, 0)
+		fo.Origins, fo.Streamer = known, &fakeStreamer{attempts: []streamAttempt{{events: 2}, {events: 2}}}
+		listSoftware(fo, "v1")
+		re := request(conf.Stream, 10*time.Second)
+		re.Route.Resumable = true
+		require.Nil(t, fo.Stream(context.Background(), re, checkingSink{t, known, re.ID}))
+		require.Equal(t, calls.Origin{Service: "desk", Software: "v1"}, known[re.ID])
+		re.ID, re.LastEventID, re.Resumes = "second", 2, re.ID
+		require.Nil(t, fo.Stream(context.Background(), re, &sink{}))
+		require.NotContains(t, known, "second", "callers name the request that got the first event")
+	})
+}
+
+// checkingSink checks at each event that the origin is recorded.
+type checkingSink struct {
+	t     *testing.T
+	known originMap
+	id    string
+}
+
+func (checkingSink) Begin(calls.Response) {}
+
+func (cs checkingSink) Event([]byte) error {
+	require.Contains(cs.t, cs.known, cs.id)
+	return nil
+}
--- a/calls/poison.go
+++ b/calls/poison.go
@@ -57,7 +57,8 @@
 
 // Update replaces the list of targets. Targets no longer in it count as dead.
 func (fo *Forwarder) Update(all []fleet.Target) {
-	for _, id := range fo.Balancer.Update(all) {
-		fo.recordDeath(fo.Clock.Now(), id)
+	now := fo.Clock.Now()
+	for _, id := range fo.Balancer.Update(now, all) {
+		fo.recordDeath(now, id)
 	}
 }
--- a/calls/stream.go
+++ b/calls/stream.go
@@ -64,8 +64,11 @@
 	ctx, cancel := context.WithDeadline(ctx, re.Deadline)
 	defer cancel()
 	st := &stream{attempts: newAttempts(fo, re), sink: sink, lastEventID: re.LastEventID, lastEventAt: started}
-	err := st.run(ctx, started)
-	st.record(err, fo.Clock.Now().Sub(started), "events", st.events, "after", st.lastEventID, "first", st.firstEventAfter)
+	err := st.findOrigin(ctx)
+	if err == nil {
+		err = st.run(ctx, started)
+	}
+	st.record(err, fo.Clock.Now().Sub(started), "events", st.events, "after", st.lastEventID, "software", st.software, "first", st.firstEventAfter)
 	return err
 }
 
@@ -133,7 +136,8 @@
 	progressAt := began
 	watch := time.AfterFunc(idleLimit, func() { stalled.Store(true); cancel() })
 	defer watch.Stop()
-	err := fo.stream(ctx, ta, st.re, st.lastEventID, st.begin, func(id int, raw []byte) error {
+	begin := func(rs Response) error { return st.begin(ta, rs) }
+	err := fo.stream(ctx, ta, st.re, st.lastEventID, begin, func(id int, raw []byte) error {
 		watch.Stop()       // time spent on a slow reader does not count
 		if id == NoEvent { // a target may stall and still send a comment now and then
 			idle := fo.Clock.Now().Sub(progressAt)
@@ -147,7 +151,7 @@
 		}
 		if st.events == 0 {
 			st.firstEventAfter = fo.Clock.Now().Sub(started)
-			fo.Meters.Observe("first-event", st.re.Route.Name, st.firstEventAfter)
+			st.recordFirstEvent()
 		}
 		if err := st.forward(raw); err != nil {
 			return err
@@ -175,6 +179,15 @@
 	return err
 }
 
+// recordFirstEvent measures the time to the first event, and has the entries remember where
+// a new stream began.
+func (st *stream) recordFirstEvent() {
+	st.fo.Meters.Observe("first-event", st.re.Route.Name, st.firstEventAfter)
+	if st.fo.Origins != nil && st.re.LastEventID == 0 && repeatable(st.re.Route) {
+		st.fo.Origins.Record(st.re.ID, Origin{Service: st.service, Software: st.software})
+	}
+}
+
 // forward passes bytes of the stream on to the caller.
 func (st *stream) forward(raw []byte) error {
 	if err := st.sink.Event(raw); err != nil {
@@ -201,11 +214,15 @@
 }
 
 // begin forwards the status and headers of the first target. Those of a later one are
-// dropped; its status must be 200.
-func (st *stream) begin(rs Response) error {
+// dropped; its status must be 200. From then on the stream keeps to the software of the
+// first target (rule 12).
+func (st *stream) begin(ta fleet.Target, rs Response) error {
 	switch {
 	case !st.begun:
 		st.begun = true
+		if repeatable(st.re.Route) {
+			st.software = ta.Software
+		}
 		st.sink.Begin(rs)
 	case rs.Status != http.StatusOK:
 		return core.InDoubt(core.CodeAnswerCut, "the stream was not resumed: status %d", rs.Status)
--- a/core/error.go
+++ b/core/error.go
@@ -29,6 +29,7 @@
 	CodeNotReady         Code = "not-ready"
 	CodeDeadline         Code = "deadline"
 	CodeNoTarget         Code = "no-target"
+	CodeUnknownOrigin    Code = "unknown-origin"
 	CodeTargetDown       Code = "target-down"
 	CodeTargetLost       Code = "target-lost"
 	CodeAnswerCut        Code = "answer-cut"
--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -291,6 +291,9 @@
 	return conf.New(1, []conf.Route{route, {
 		Name: "score", Host: "h", Prefix: "/score/", Kind: conf.Idempotent, Shares: []conf.Share{{Service: "desk", Weight: 1}},
 		TargetLatency: 300 * time.Millisecond, Attempts: 4,
+	}, {
+		Name: "chat", Host: "h", Prefix: "/chat/", Kind: conf.Stream, Resumable: true, Shares: []conf.Share{{Service: "desk", Weight: 1}},
+		TargetLatency: 300 * time.Millisecond, Attempts: 3,
 	}}, nil, conf.Limits{})
 }
 
@@ -348,10 +351,8 @@
 
 // live returns the index of an entry that runs.
 func (cl *cluster) live() int {
-	for at, ended := range cl.ended {
-		select {
-		case <-ended:
-		default:
+	for at := range cl.ended {
+		if cl.runs(at) {
 			return at
 		}
 	}
@@ -359,6 +360,16 @@
 	return 0
 }
 
+// runs reports whether the entry of a node runs.
+func (cl *cluster) runs(node int) bool {
+	select {
+	case <-cl.ended[node]:
+		return false
+	default:
+		return true
+	}
+}
+
 // starter returns a client of the entry at an inner address.
 func (cl *cluster) starter(addr string) intake.Starter {
 	at, err := strconv.Atoi(strings.TrimPrefix(addr, "n"))
@@ -384,6 +395,27 @@
 // issuer returns a client that asks the entry at an inner address for permits.
 func (cl *cluster) issuer(addr string) intake.Issuer { return cl.starter(addr).(*peer) }
 
+// origins returns a client for the origins of streams at the entry at an inner address.
+func (cl *cluster) origins(addr string) intake.OriginClient { return cl.starter(addr).(*peer) }
+
+func (pe *peer) RecordOrigin(ctx context.Context, req *wire.RecordOriginRequest) (*wire.RecordOriginResponse, error) {
+	select {
+	case <-pe.cluster.ended[pe.at]:
+		return nil, errors.New("connection refused")
+	default:
+		return pe.cluster.entries[pe.at].RecordOrigin(ctx, req)
+	}
+}
+
+func (pe *peer) FindOrigin(ctx context.Context, req *wire.FindOriginRequest) (*wire.FindOriginResponse, error) {
+	select {
+	case <-pe.cluster.ended[pe.at]:
+		return nil, errors.New("connection refused")
+	default:
+		return pe.cluster.entries[pe.at].FindOrigin(ctx, req)
+	}
+}
+
 func (pe *peer) Permits(ctx context.Context, req *wire.PermitsRequest) (*wire.PermitsResponse, error) {
 	select {
 	case <-pe.cluster.ended[pe.at]:
@@ -425,7 +457,7 @@
 	an := &announcer{engines: cl.engines, sender: cl.sender, departures: &fleet.Departures{}, rates: &quota.Limits{}, limits: &cl.limits, started: map[string][]time.Time{}}
 	en := intake.New(
 		intake.Settings{Node: "n" + strconv.Itoa(node), Domain: "d", Inner: "n" + strconv.Itoa(node), Grace: 8 * time.Second},
-		intake.Ports{Direct: li, Sender: an, Engine: an, Departures: an.departures, Rates: an.rates, Issuer: cl.issuer, Dial: func(string) table.Client { return cl.rows }, Starter: cl.starter},
+		intake.Ports{Direct: li, Sender: an, Engine: an, Departures: an.departures, Rates: an.rates, Issuer: cl.issuer, Origins: cl.origins, Streamer: an, Dial: func(string) table.Client { return cl.rows }, Starter: cl.starter},
 		cl.decoders(), core.SystemClock{}, log.NewNopLogger(), &meter.Set{},
 	)
 	ended := make(chan struct{})
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -87,6 +87,8 @@
 	// permitIssuer issues the permits of the targets that this entry is responsible for.
 	permitIssuer quota.Issuer
 	issuer       func(addr string) Issuer
+	origins      origins
+	originClient func(addr string) OriginClient
 	// publishing is held while the targets are published, so that an older list never
 	// replaces a newer one.
 	publishing sync.Mutex
@@ -128,6 +130,8 @@
 	Starter func(addr string) Starter
 	// Issuer returns a client that asks the peer at an inner address for permits.
 	Issuer func(addr string) Issuer
+	// Origins returns a client for the origins of streams at the peer at an inner address.
+	Origins func(addr string) OriginClient
 }
 
 // Starter hands a job over to another entry.
@@ -142,7 +146,7 @@
 func New(se Settings, po Ports, de Decoders, clock core.Clock, lg log.Logger, me *meter.Set) *Entry {
 	en := &Entry{
 		settings: se, name: se.Node + "/" + strconv.FormatUint(rand.Uint64(), 36), clock: clock, logger: lg, meters: me,
-		decoders: de, index: batch.NewIndex(clock, lg), balancer: &calls.Balancer{}, loop: core.NewLoop(), dial: po.Dial, starter: po.Starter, issuer: po.Issuer, failedIssuers: map[string]time.Time{},
+		decoders: de, index: batch.NewIndex(clock, lg), balancer: &calls.Balancer{}, loop: core.NewLoop(), dial: po.Dial, starter: po.Starter, issuer: po.Issuer, originClient: po.Origins, failedIssuers: map[string]time.Time{},
 		done: make(chan struct{}), malformed: map[string]bool{}, orphans: map[string]time.Time{}, peerClients: map[string]table.Client{},
 		losses: make(chan poison.Loss, maxQueuedLosses), departures: po.Departures, rates: po.Rates,
 	}
@@ -160,7 +164,7 @@
 	en.ledger = batch.Ledger{Store: en.store}
 	en.forwarder = &calls.Forwarder{
 		Sender: po.Sender, Streamer: po.Streamer, Clock: clock, Logger: lg, Meters: me, IntN: rand.IntN, Balancer: en.balancer, OnDeath: en.enqueueLoss,
-		Departures: en.departures, Rates: en.rates,
+		Departures: en.departures, Rates: en.rates, Origins: en,
 	}
 	en.owner = &runs.Owner{
 		Ledger: en.ledger, Index: en.index, Engine: po.Engine, Scorer: en,
--- a/member/member.go
+++ b/member/member.go
@@ -191,6 +191,24 @@
 	return ranked[:min(len(ranked), issuerCount)]
 }
 
+// Replicas returns the live entries but one, in the order in which they keep what is known
+// about an id: first the entry of each failure domain with the highest rendezvous weight,
+// then the second of each, and so on. So the loss of one of the first two leaves the other
+// among the first of the domains.
+func (vi *View) Replicas(now time.Time, id, except string) []Record {
+	all := slices.DeleteFunc(vi.Live(now), func(re Record) bool { return re.Stopping || re.Name == except })
+	slices.SortFunc(all, func(lhs, rhs Record) int {
+		return cmp.Compare(core.Rendezvous(id, rhs.Name), core.Rendezvous(id, lhs.Name))
+	})
+	perDomain, rank := map[string]int{}, map[string]int{}
+	for _, re := range all {
+		rank[re.Name] = perDomain[re.Domain]
+		perDomain[re.Domain]++
+	}
+	slices.SortStableFunc(all, func(lhs, rhs Record) int { return cmp.Compare(rank[lhs.Name], rank[rhs.Name]) })
+	return all
+}
+
 // ChangedAt returns when the set of live entries last changed.
 func (vi *View) ChangedAt(now time.Time) time.Time {
 	names := ""
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -100,3 +101,25 @@
 	require.NotEqual(t, first.Name, second.Name)
 	require.True(t, second.NearStore)
 }
+
+// The second replica is in another failure domain if there is any, and the loss of the first
+// one leaves the second.
+func TestReplicas(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var vi member.View
+	for at := range 6 {
+		raw, err := member.Record{Name: fmt.Sprint("n", at), Domain: fmt.Sprint("d", at%2)}.Encode()
+		require.NoError(t, err)
+		require.NoError(t, vi.Put(now, table.Row{ID: member.ID(fmt.Sprint("n", at)), Value: raw}))
+	}
+	vi.Confirm(now)
+	for at := range 50 {
+		id := fmt.Sprint("s", at)
+		all := vi.Replicas(now, id, "n0")
+		require.Len(t, all, 5)
+		require.NotEqual(t, all[0].Domain, all[1].Domain)
+		require.NotContains(t, all, member.Record{Name: "n0", Domain: "d0"})
+		left := vi.Replicas(now, id, all[0].Name)
+		require.Contains(t, left[:2], all[1], "found among the first of two domains after the loss of the other")
+	}
+}
--- a/wire/wireconnect/wire.connect.go
+++ b/wire/wireconnect/wire.connect.go
@@ -32,6 +32,8 @@
 	JobServiceName = "bilberryshelf.wire.JobService"
 	// QuotaServiceName is the fully-qualified name of the QuotaService service.
 	QuotaServiceName = "bilberryshelf.wire.QuotaService"
+	// OriginServiceName is the fully-qualified name of the OriginService service.
+	OriginServiceName = "bilberryshelf.wire.OriginService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -60,6 +62,12 @@
 	JobServiceStartProcedure = "/bilberryshelf.wire.JobService/Start"
 	// QuotaServicePermitsProcedure is the fully-qualified name of the QuotaService's Permits RPC.
 	QuotaServicePermitsProcedure = "/bilberryshelf.wire.QuotaService/Permits"
+	// OriginServiceRecordOriginProcedure is the fully-qualified name of the OriginService's
+	// RecordOrigin RPC.
+	OriginServiceRecordOriginProcedure = "/bilberryshelf.wire.OriginService/RecordOrigin"
+	// OriginServiceFindOriginProcedure is the fully-qualified name of the OriginService's FindOrigin
+	// RPC.
+	OriginServiceFindOriginProcedure = "/bilberryshelf.wire.OriginService/FindOrigin"
 )
 
 // GuardServiceClient is a client for the bilberryshelf.wire.GuardService service.
@@ -563,3 +571,107 @@
 func (UnimplementedQuotaServiceHandler) Permits(context.Context, *wire.PermitsRequest) (*wire.PermitsResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bilberryshelf.wire.QuotaService.Permits is not implemented"))
 }
+
+// OriginServiceClient is a client for the bilberryshelf.wire.OriginService service.
+type OriginServiceClient interface {
+	RecordOrigin(context.Context, *wire.RecordOriginRequest) (*wire.RecordOriginResponse, error)
+	FindOrigin(context.Context, *wire.FindOriginRequest) (*wire.FindOriginResponse, error)
+}
+
+// NewOriginServiceClient constructs a client for the bilberryshelf.wire.OriginService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewOriginServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) OriginServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	originServiceMethods := wire.File_wire_wire_proto.Services().ByName("OriginService").Methods()
+	return &originServiceClient{
+		recordOrigin: connect.NewClient[wire.RecordOriginRequest, wire.RecordOriginResponse](
+			httpClient,
+			baseURL+OriginServiceRecordOriginProcedure,
+			connect.WithSchema(originServiceMethods.ByName("RecordOrigin")),
+			connect.WithClientOptions(opts...),
+		),
+		findOrigin: connect.NewClient[wire.FindOriginRequest, wire.FindOriginResponse](
+			httpClient,
+			baseURL+OriginServiceFindOriginProcedure,
+			connect.WithSchema(originServiceMethods.ByName("FindOrigin")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// originServiceClient implements OriginServiceClient.
+type originServiceClient struct {
+	recordOrigin *connect.Client[wire.RecordOriginRequest, wire.RecordOriginResponse]
+	findOrigin   *connect.Client[wire.FindOriginRequest, wire.FindOriginResponse]
+}
+
+// RecordOrigin calls bilberryshelf.wire.OriginService.RecordOrigin.
+func (c *originServiceClient) RecordOrigin(ctx context.Context, req *wire.RecordOriginRequest) (*wire.RecordOriginResponse, error) {
+	response, err := c.recordOrigin.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// FindOrigin calls bilberryshelf.wire.OriginService.FindOrigin.
+func (c *originServiceClient) FindOrigin(ctx context.Context, req *wire.FindOriginRequest) (*wire.FindOriginResponse, error) {
+	response, err := c.findOrigin.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// OriginServiceHandler is an implementation of the bilberryshelf.wire.OriginService service.
+type OriginServiceHandler interface {
+	RecordOrigin(context.Context, *wire.RecordOriginRequest) (*wire.RecordOriginResponse, error)
+	FindOrigin(context.Context, *wire.FindOriginRequest) (*wire.FindOriginResponse, error)
+}
+
+// NewOriginServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewOriginServiceHandler(svc OriginServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	originServiceMethods := wire.File_wire_wire_proto.Services().ByName("OriginService").Methods()
+	originServiceRecordOriginHandler := connect.NewUnaryHandlerSimple(
+		OriginServiceRecordOriginProcedure,
+		svc.RecordOrigin,
+		connect.WithSchema(originServiceMethods.ByName("RecordOrigin")),
+		connect.WithHandlerOptions(opts...),
+	)
+	originServiceFindOriginHandler := connect.NewUnaryHandlerSimple(
+		OriginServiceFindOriginProcedure,
+		svc.FindOrigin,
+		connect.WithSchema(originServiceMethods.ByName("FindOrigin")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/bilberryshelf.wire.OriginService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case OriginServiceRecordOriginProcedure:
+			originServiceRecordOriginHandler.ServeHTTP(w, r)
+		case OriginServiceFindOriginProcedure:
+			originServiceFindOriginHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedOriginServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedOriginServiceHandler struct{}
+
+func (UnimplementedOriginServiceHandler) RecordOrigin(context.Context, *wire.RecordOriginRequest) (*wire.RecordOriginResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bilberryshelf.wire.OriginService.RecordOrigin is not implemented"))
+}
+
+func (UnimplementedOriginServiceHandler) FindOrigin(context.Context, *wire.FindOriginRequest) (*wire.FindOriginResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bilberryshelf.wire.OriginService.FindOrigin is not implemented"))
+}
