calls, intake: scoring calls are not suspected of crashing targets

It can happen here: a scoring call that met three deaths at two targets or more was condemned by its content, so that the entries refused it for ten minutes; its owner asked every tenth of a second, in vain, and the item, whose text was complete, was never listed. Items themselves are not held back: a run that is interrupted counts neither as a failure nor against the item, and an engine's backoff ends after three seconds or with its incarnation.

Change: a call on behalf of an item handed in earlier neither counts as the cause of a death nor is refused as one. Requests of clients are as before.

--- a/calls/calls.go
+++ b/calls/calls.go
@@ -26,6 +26,7 @@
 //     complete.
 //  9. A request that crashed poison.MaxDeaths targets, as counted over all entries, is
 //     not sent to any more. Later requests with the same content are refused at once.
+//     Scoring calls are exempt: they meet crashes by bad luck only.
 //  10. A target that announces in a response that it leaves gets no further request of
 //     this entry, not even one that was assigned to it and is not sent yet; that one
 //     is assigned again.
@@ -90,6 +91,9 @@
 	// Patience is how long the request may wait for a target that limits its rate; zero
 	// means permitPatience of the target latency.
 	Patience time.Duration
+	// Deferred is set for a call on behalf of an item that was handed in earlier. It is owed
+	// until its job ends and never counts as the cause of a crash (rule 9).
+	Deferred bool
 	// LastEventID is the id of the last event of a stream that the caller received.
 	LastEventID int
 	// Resumes is the id of the caller's request that got the first event of the stream;
--- a/calls/poison.go
+++ b/calls/poison.go
@@ -23,7 +23,7 @@
 
 // condemned returns an error if the request crashed too many targets (rule 9).
 func (at *attempts) condemned() *core.Error {
-	if !at.fo.Losses.Condemned(at.fo.Clock.Now(), at.digest) {
+	if at.re.Deferred || !at.fo.Losses.Condemned(at.fo.Clock.Now(), at.digest) {
 		return nil
 	}
 	return core.Refuse(core.CodePoison, "requests with this content have crashed targets")
@@ -39,6 +39,7 @@
 	case canceled:
 	case ou.err.Code == core.CodeTargetDown:
 		fo.recordDeath(now, ou.target.ID)
+	case at.re.Deferred:
 	case ou.err.Code == core.CodeTargetLost || ou.err.Code == core.CodeAnswerCut:
 		fo.Losses.RecordLoss(now, at.digest, ou.target.ID, xxhash.Sum64String(at.re.ID))
 	}
--- a/intake/calls.go
+++ b/intake/calls.go
@@ -59,7 +59,7 @@
 	for range scoreRetries + route.Attempts {
 		rs, failed := en.forwarder.Do(ctx, calls.Request{
 			ID: sc.ID, Method: http.MethodPost, URI: sc.Path, Host: sc.Host, Header: http.Header{}, Body: sc.Body,
-			Route: route, Deadline: en.clock.Now().Add(timeout), Patience: timeout,
+			Route: route, Deadline: en.clock.Now().Add(timeout), Patience: timeout, Deferred: true,
 		})
 		switch {
 		case failed != nil:
--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -135,6 +135,8 @@
 	// crash is the body that crashes a target, empty for none; crashed is the target
 	// that crashed last.
 	crash, crashed string
+	// down holds the targets that accept no connections after a crash, if it is not nil.
+	down map[string]bool
 }
 
 func (se *sender) Send(ctx context.Context, ta fleet.Target, re calls.Request) (calls.Response, error) {
@@ -145,9 +147,15 @@
 	}
 	se.mutex.Lock()
 	defer se.mutex.Unlock()
+	if se.down[ta.ID] {
+		return calls.Response{}, core.Refuse(core.CodeTargetDown, "connection refused")
+	}
 	se.calls[re.ID]++
 	if se.crash != "" && string(re.Body) == se.crash {
 		se.crashed = ta.ID
+		if se.down != nil {
+			se.down[ta.ID] = true
+		}
 		return calls.Response{}, core.InDoubt(core.CodeTargetLost, "connection reset")
 	}
 	if se.failing[re.ID] {
--- a/intake/losses_test.go
+++ b/intake/losses_test.go
@@ -65,3 +65,32 @@
 	}
 	time.Sleep(time.Second)
 }
+
+// Targets that died while they ran the scoring call of a sound item, in a burst of crashes,
+// had the call refused for the next ten minutes: the item was complete and never listed.
+func TestScoringCallCondemnedByBurstOfCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3)
+		defer cl.stop()
+		for _, id := range []string{"desk3", "desk4"} {
+			cl.put(targetTable, id)
+		}
+		time.Sleep(time.Second)
+		jo := job("j1", 2)
+		jo.Items[0].Scorer.Body = []byte("unlucky")
+		cl.sender.crash, cl.sender.down = "unlucky", map[string]bool{}
+		require.Nil(t, cl.submit(0, jo))
+		for range 2 * poison.MaxDeathsAtOne {
+			time.Sleep(300 * time.Millisecond)
+			cl.sender.mutex.Lock()
+			clear(cl.sender.down) // the targets start again
+			cl.sender.mutex.Unlock()
+		}
+		cl.sender.mutex.Lock()
+		require.GreaterOrEqual(t, cl.sender.calls["s-"+jo.Items[0].ID], poison.MaxDeaths)
+		cl.sender.crash = ""
+		cl.sender.mutex.Unlock()
+		time.Sleep(5 * time.Second)
+		cl.requireComplete(0, jo)
+	})
+}
