quota, member, intake: issuers announce limits in their heartbeats

An entry that had sent nothing to a target since it named its limit, for instance a new one, met it with all that it had: 60 requests at once in the test, allowed 16. Now the issuer of a target's permits has the limit in its own row of the store, which all entries read anyway, so that they know it within about two heartbeats; no further calls to the store. In an outage of the store entries learn it from the first response, as before.

--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -185,24 +185,32 @@
 	an.started[ta.ID] = append(an.started[ta.ID], time.Now())
 	leaving := an.leaving[ta.ID]
 	an.mutex.Unlock()
+	if leaving {
+		an.departures.Announce(time.Now(), ta)
+	}
+}
+
+// nameLimit reports what a response to a request says about the limit of its target.
+func (an *announcer) nameLimit(ta fleet.Target, sentAt time.Time) {
 	reading := quota.Reading{}
 	if li, found := an.limits.Load(ta.ID); found {
 		reading.Limit = li.(quota.Limit)
 	}
-	an.rates.Observe(ta, time.Now(), reading)
-	if leaving {
-		an.departures.Announce(time.Now(), ta)
-	}
+	an.rates.Observe(ta, sentAt, reading)
 }
 
 func (an *announcer) Run(ctx context.Context, ta fleet.Target, rq runs.Request, event func(runs.Event)) runs.Outcome {
 	an.respond(ta)
+	an.nameLimit(ta, time.Now())
 	return an.engines.Run(ctx, ta, rq, event)
 }
 
 func (an *announcer) Send(ctx context.Context, ta fleet.Target, re calls.Request) (calls.Response, error) {
 	an.respond(ta)
-	return an.sender.Send(ctx, ta, re)
+	sentAt := time.Now()
+	rs, err := an.sender.Send(ctx, ta, re)
+	an.nameLimit(ta, sentAt)
+	return rs, err
 }
 
 // setLeaving has targets announce their departure from now on.
--- a/intake/follow.go
+++ b/intake/follow.go
@@ -195,10 +195,16 @@
 			logs.Warn(en.logger, "cannot decode the row of an entry", "node", ro.ID.Key, "err", err)
 		}
 	}
+	announcements := en.members.Announcements(rows)
 	regions := en.members.Regions()
 	changed := !maps.Equal(regions, en.regions)
 	en.regions = regions
 	en.mutex.Unlock()
+	for _, raw := range announcements {
+		if err := en.rates.Adopt(en.clock.Now(), raw); err != nil {
+			logs.Warn(en.logger, "cannot decode the limits that an entry announces", "err", err)
+		}
+	}
 	if changed {
 		en.publishTargets()
 	}
--- a/intake/quota_test.go
+++ b/intake/quota_test.go
@@ -199,3 +199,24 @@
 		require.Zero(t, refused)
 	})
 }
+
+// An entry that has sent nothing to a limited target yet, since it is new, has heard of the
+// limit: its first burst stays within it.
+func TestNewEntryDoesNotKnowTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3)
+		defer cl.stop()
+		cl.limits.Store("desk1", quota.Limit(2))
+		cl.limits.Store("desk2", quota.Limit(2))
+		cl.offer("a", 100*time.Millisecond, 5*time.Second)
+		cl.start(3)
+		time.Sleep(2500 * time.Millisecond)
+		from := time.Now()
+		for at := range 60 {
+			go cl.tryCall(3, fmt.Sprint("b", at))
+		}
+		time.Sleep(3 * time.Second)
+		sent := cl.clients[3].countSince("desk1", from) + cl.clients[3].countSince("desk2", from)
+		require.LessOrEqual(t, sent, 2*(2*3+2), "what both take in 3 s, and a burst of each")
+	})
+}
--- a/intake/renew.go
+++ b/intake/renew.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 
 	"bilberryshelf/logs"
 	"bilberryshelf/member"
@@ -42,7 +43,12 @@
 			Name: en.name, Addr: en.settings.Inner, Heartbeat: beat, LowCapacity: en.settings.LowCapacity, Stopping: en.stopping.Load(), Region: en.settings.Region, Domain: en.settings.Domain, NearStore: near,
 		}
 		began := en.clock.Now()
-		err := en.writeMember(ctx, re)
+		limits, err := en.permitIssuer.Announce(began)
+		if err != nil {
+			logs.Warn(en.logger, "limits of targets not announced", "err", err)
+		}
+		re.Limits = cbor.ByteString(limits)
+		err = en.writeMember(ctx, re)
 		if took := en.clock.Now().Sub(began); err == nil && took < maxNearWriteTime {
 			near = true // never reset: a later slow write is not due to the distance
 		}
--- a/member/member.go
+++ b/member/member.go
@@ -56,6 +56,8 @@
 	// NearStore is set if the entry measured a short latency to the store.
 	NearStore bool   `cbor:"7,keyasint"`
 	Region    string `cbor:"8,keyasint"`
+	// Limits are those of the targets whose permits the entry issues, encoded by quota.
+	Limits cbor.ByteString `cbor:"9,keyasint,omitempty"`
 }
 
 // Encode returns the stored value of a record.
@@ -104,6 +106,17 @@
 	return nil
 }
 
+// Announcements returns the limits that the entries of these rows announce.
+func (vi *View) Announcements(rows []table.Row) [][]byte {
+	var texts [][]byte
+	for _, ro := range rows {
+		if ob, found := vi.byNode[ro.ID.Key]; found && !ro.Deleted && ob.record.Limits != "" {
+			texts = append(texts, []byte(ob.record.Limits))
+		}
+	}
+	return texts
+}
+
 // Confirm records that the rows were complete at the given time.
 func (vi *View) Confirm(now time.Time) {
 	if !vi.isFresh(now) {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -127,3 +127,14 @@
 		}
 	}
 }
+
+// What an entry announces is bytes of any value; a row with them must stay readable.
+func TestAnnouncements(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var vi member.View
+	rows := []table.Row{row(t, "n1", member.Record{Name: "n1", Limits: "\xff\x00"}), row(t, "n2", member.Record{Name: "n2"})}
+	for _, ro := range rows {
+		require.NoError(t, vi.Put(now, ro))
+	}
+	require.Equal(t, [][]byte{{0xff, 0}}, vi.Announcements(rows))
+}
--- a/quota/limits_test.go
+++ b/quota/limits_test.go
@@ -56,3 +56,35 @@
 	require.Equal(t, quota.Limit(3), ls.Limit(target))
 	require.Equal(t, 1, reports, "reported once")
 }
+
+// Limits that an issuer announces reach an entry that knows none, newer ones replace older
+// ones, and the end of a limit is announced as well.
+func TestAnnouncedLimits(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var is quota.Issuer
+	text, err := is.Announce(now)
+	require.NoError(t, err)
+	require.Empty(t, text)
+	is.Issue(now, "e", quota.Ask{Target: target, Limit: 3}, quota.Primary)
+	is.Issue(now, "e", quota.Ask{Target: fleet.Target{ID: "b"}, Limit: 4}, quota.Deputy)
+	text, err = is.Announce(now.Add(time.Second))
+	require.NoError(t, err)
+
+	ls := &quota.Limits{}
+	require.NoError(t, ls.Adopt(now.Add(time.Second), text))
+	require.Equal(t, quota.Limit(3), ls.Limit(target))
+	require.Zero(t, ls.Limit(fleet.Target{ID: "b"}), "a deputy announces nothing")
+	ls.Observe(target, now.Add(2*time.Second), quota.Reading{Limit: 5})
+	require.NoError(t, ls.Adopt(now.Add(time.Second), text))
+	require.Equal(t, quota.Limit(5), ls.Limit(target), "an older announcement")
+
+	is.Issue(now.Add(4*time.Second), "e", quota.Ask{Target: target, Limit: 0}, quota.Primary)
+	text, err = is.Announce(now.Add(5 * time.Second))
+	require.NoError(t, err)
+	require.NoError(t, ls.Adopt(now.Add(5*time.Second), text))
+	require.Zero(t, ls.Limit(target))
+	require.Error(t, ls.Adopt(now, []byte{0xff}))
+	text, err = is.Announce(now.Add(time.Minute))
+	require.NoError(t, err)
+	require.Empty(t, text, "nobody has asked for long")
+}
--- a/quota/permits.go
+++ b/quota/permits.go
@@ -216,30 +216,23 @@
 
 // Granted records the response to an Ask.
 func (ls *Limits) Granted(now time.Time, as Ask, gr Grant) {
-	var was Limit
-	changed := func() bool {
-		ls.mutex.Lock()
-		defer ls.mutex.Unlock()
-		st := ls.stateOf(as.Target)
-		st.asking, st.unreported = false, st.unreported && st.limit != as.Limit
-		st.nextAskAt, st.permitAt = now.Add(min(gr.RetryAfter, askInterval)), now.Add(gr.RetryAfter)
-		st.addPermits(now, as.SentAt, gr.Counts)
-		was = st.limit
-		// An equal limit keeps its own time: an echoed one would seem newer than it is.
-		if readAt := now.Add(-gr.ReadAge); gr.Limit != st.limit && readAt.After(st.readAt) {
-			st.readAt = readAt
-			ls.setLimit(st, gr.Limit)
-			return true
-		}
-		ls.signal()
-		ls.wake()
-		return false
-	}()
-	if changed && ls.OnChange != nil {
+	ls.addGrant(now, as, gr)
+	if was, changed := ls.adopt(as.Target, gr.Limit, now.Add(-gr.ReadAge)); changed && ls.OnChange != nil {
 		ls.OnChange(as.Target, was, gr.Limit)
 	}
 }
 
+func (ls *Limits) addGrant(now time.Time, as Ask, gr Grant) {
+	ls.mutex.Lock()
+	defer ls.mutex.Unlock()
+	st := ls.stateOf(as.Target)
+	st.asking, st.unreported = false, st.unreported && st.limit != as.Limit
+	st.nextAskAt, st.permitAt = now.Add(min(gr.RetryAfter, askInterval)), now.Add(gr.RetryAfter)
+	st.addPermits(now, as.SentAt, gr.Counts)
+	ls.signal()
+	ls.wake()
+}
+
 // addPermits adds permits that were asked for at askedAt, and drops those that have lapsed.
 func (st *state) addPermits(now, askedAt time.Time, counts map[int]int) {
 	kept := st.permits[:0]
