guard, engine, quota: the rate that a target names, on the product's own path

Now a target names it in Bilberryshelf-Rate-Limit; its guard, through which all requests to it pass, admits that many (one issuer of permits, no other process has a part), refuses the others with not-run, the code target-limit and the time until there is a permit, and their entries queue them again. The limit ends with a response that doesn't name it and with a restart of the target.

A first try called the guard's loop from the forwarding of an answer: guard TestExtraResponses, which runs none, hung until go test's limit of ten minutes; the incarnation is now taken when the run is admitted.

--- a/engine/client.go
+++ b/engine/client.go
@@ -1,7 +1,8 @@
 // Package engine is the client side of the protocol of targets: health checks, orders to
 // load weights, and the parsing of response streams. Model engines use the completions
 // protocol with one addition: each chunk may name the version of the weights that
-// generated it, in the field weight_version.
+// generated it, in the field weight_version. A target in need names in the header
+// RateLimitHeader of its responses how many requests per second it takes.
 package engine
 
 import (
@@ -51,6 +52,10 @@
 	ErrStoreBusy = errors.New("the weight store refused the load temporarily")
 )
 
+// RateLimitHeader holds the number of requests per second, a decimal number, that a target
+// takes for as long as its responses name it.
+const RateLimitHeader = "Bilberryshelf-Rate-Limit"
+
 const (
 	healthPath = "/health"
 	loadPath   = "/v1/orders/load"
--- a/entry/caller_test.go
+++ b/entry/caller_test.go
@@ -376,3 +376,26 @@
 		return an.Header.Get("Bilberryshelf-Target") == serviceName(0)
 	}, testTimeout, 20*time.Millisecond)
 }
+
+// A target that named how many requests per second it takes got as many as came.
+func TestGuardExceedsRateLimitOfTarget(t *testing.T) {
+	sy := newSystem(t, options{services: 1, entries: 2})
+	sy.services[0].Set(fake.Faults{RateLimit: "5"})
+	require.Equal(t, http.StatusOK, sy.check(0, "first", "").Status)
+	const span = 4 * time.Second
+	served := 0
+	for began := time.Now(); time.Since(began) < span; {
+		an := sy.check(served%2, fmt.Sprint("call ", time.Now().UnixNano()), "")
+		require.Equal(t, http.StatusOK, an.Status, an.Body)
+		served++
+	}
+	require.LessOrEqual(t, served, int(1.5*5*span.Seconds())+5)
+	require.GreaterOrEqual(t, served, 10, "the rate is used")
+	sy.services[0].Set(fake.Faults{})
+	require.Equal(t, http.StatusOK, sy.check(0, "last", "").Status)
+	began := time.Now()
+	for at := range 50 {
+		require.Equal(t, http.StatusOK, sy.check(0, fmt.Sprint("free ", at), "").Status)
+	}
+	require.Less(t, time.Since(began), 5*time.Second, "the limit has ended")
+}
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -260,7 +260,7 @@
 		return http.StatusConflict
 	case core.CodeTooLarge:
 		return http.StatusRequestEntityTooLarge
-	case core.CodeFull, core.CodeQueueWait, core.CodeLoanLimit:
+	case core.CodeFull, core.CodeQueueWait, core.CodeLoanLimit, core.CodeTargetLimit:
 		return http.StatusTooManyRequests
 	case core.CodeDeadline:
 		return http.StatusGatewayTimeout
--- a/fake/service.go
+++ b/fake/service.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"bilberryshelf/engine"
 )
 
 // Service is a fake plain service with non-idempotent calls. It counts the calls
@@ -71,6 +73,9 @@
 	if se.current().Cut > 0 {
 		abortResponse()
 	}
+	if text := se.current().RateLimit; text != "" {
+		out.Header().Set(engine.RateLimitHeader, text)
+	}
 	out.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(out).Encode(map[string]any{"checked": string(raw), "run": count, "path": req.URL.Path})
 }
--- a/guard/admit.go
+++ b/guard/admit.go
@@ -69,7 +69,10 @@
 	if share < 0 || (share > 0 && gu.runsPerLoan[lo.ID] >= share) {
 		return core.Refuse(core.CodeLoanLimit, "loan %s has reached the lender's limit on this target", lo.ID).WithRetryAfter(gu.retryAfter(now))
 	}
-	return gu.checkCapacity(now, req.Alone)
+	if er := gu.checkCapacity(now, req.Alone); er != nil {
+		return er
+	}
+	return gu.rate.admit(now, gu.incarnation())
 }
 
 func (gu *Guard) checkState(req *wire.DispatchRequest) *core.Error {
@@ -150,7 +153,7 @@
 func (gu *Guard) startRun(now time.Time, req *wire.DispatchRequest, ti fence.Ticket) *run {
 	ru := &run{
 		id: ti.ID, key: ti.Key, loan: req.Loan, digest: req.Digest, alone: req.Alone,
-		sample: req.Sample, started: now, done: make(chan struct{}),
+		sample: req.Sample, target: gu.incarnation(), started: now, done: make(chan struct{}),
 	}
 	if req.Sample {
 		ru.check = gu.versions.versionCheck(gu.settings.Engine.LateReports)
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -155,10 +155,12 @@
 	if err != nil {
 		return nil, core.Refuse(core.CodeBadRequest, "%v", err)
 	}
+	sentAt := gu.clock.Now()
 	res, err := gu.forwarder.Do(hr)
 	if err != nil {
 		return nil, gu.sendError(err)
 	}
+	gu.rate.observe(gu.logger, ru.target, sentAt, res.Header)
 	defer res.Body.Close() // nothing more is read from the body
 	if refused := gu.engineRefusal(res); refused != nil {
 		return nil, refused
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -17,6 +17,7 @@
 	"bilberryshelf/core"
 	"bilberryshelf/engine"
 	"bilberryshelf/fence"
+	"bilberryshelf/fleet"
 	"bilberryshelf/limit"
 	"bilberryshelf/loan"
 	"bilberryshelf/meter"
@@ -86,6 +87,7 @@
 	// probe is closed when the current check for a death ends; nil if there is none.
 	probe    chan struct{}
 	entries  entryRecords
+	rate     rateLimit
 	versions versions
 }
 
@@ -97,6 +99,7 @@
 	digest  uint64
 	alone   bool
 	sample  bool
+	target  fleet.Target
 	started time.Time
 	check   *versionCheck
 	done    chan struct{}
@@ -206,6 +209,8 @@
 	gu.meters.Gauge("keys-known", "", int64(keys))
 	gu.meters.Gauge("in-flight", "", int64(len(gu.running)))
 	gu.expireDeaths(now)
+	gu.rate.limits.Sweep(now)
+	gu.rate.issuer.Sweep(now)
 	for _, le := range gu.leadEstimators {
 		le.Decay()
 	}
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"sync"
 	"time"
 
@@ -30,6 +31,20 @@
 	return time.Duration(float64(time.Second) / (float64(li) * share))
 }
 
+// ParseReading decodes the text with which a target names its limit. An empty text means
+// that it names none.
+func ParseReading(text string) Reading {
+	if text == "" {
+		return Reading{}
+	}
+	number, err := strconv.ParseFloat(text, 64)
+	li, ok := NewLimit(number)
+	if err != nil || !ok {
+		return Reading{Malformed: text}
+	}
+	return Reading{Limit: li}
+}
+
 // Reading is what the head of a response says about its target's limit.
 type Reading struct {
 	// Limit is zero if the response names none.
--- a/retry/plan.go
+++ b/retry/plan.go
@@ -170,7 +170,9 @@
 }
 
 // noCapacity reports whether a refusal is for lack of capacity.
-func noCapacity(code core.Code) bool { return code == core.CodeFull || code == core.CodeLoanLimit }
+func noCapacity(code core.Code) bool {
+	return code == core.CodeFull || code == core.CodeLoanLimit || code == core.CodeTargetLimit
+}
 
 // CanRequeue reports whether a request that ended with this error may wait in the
 // queue again: it was refused for lack of capacity, and no attempt so far may have
