soak, platform/stub: limits, software versions, resumed streams, series of restarts

New faults: a target names a limit for 6 to 14 s (the stub counts the requests on connections that were told it, the bound is the rule's); an engine starts again with other software (two versions serve from the start; the stub checks that a text goes on only after events of its own version); entries stopped or killed in series, each before the last is back, with changes of the configuration in between. Clients take up streams that break at another entry with Resumes, and check that the text is whole.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -55,6 +56,10 @@
 	storeProxies []*proxy
 	entries      []*process
 	guards       []*process
+	// streams checks the software versions of the texts.
+	streams stub.Streams
+	// configVersion is the version of the configuration in the store.
+	configVersion atomic.Uint64
 
 	mutex sync.Mutex
 	// startCounts is how often each request or item began to run on a target, by id.
@@ -146,7 +151,7 @@
 		defer cl.mutex.Unlock()
 		cl.startCounts[id]++
 	}
-	cl.putRow("op", "config", routeConfig)
+	cl.changeConfig()
 	free := freeAddrs(t, engineCount+4*entryCount)
 	nextAddr := func() string {
 		addr := free[0]
@@ -154,7 +159,8 @@
 		return addr
 	}
 	for at := range engineCount {
-		ta := &stub.Target{ID: fmt.Sprintf("e%d", at), Slots: 6, Models: map[string]uint64{"m": 1}, Delay: 15 * time.Millisecond, LoadTime: 300 * time.Millisecond, OnRun: recordStart}
+		ta := &stub.Target{ID: fmt.Sprintf("e%d", at), Slots: 6, Models: map[string]uint64{"m": 1}, Delay: 15 * time.Millisecond, LoadTime: 300 * time.Millisecond, OnRun: recordStart, Streams: &cl.streams}
+		ta.SetSoftware(softwareVersions[at%2])
 		addr := listen(t, ta)
 		cl.engines = append(cl.engines, ta)
 		go cl.register(t.Context(), ta, "lm", addr)
@@ -179,7 +185,15 @@
 	return cl
 }
 
-const routeConfig = `{"version":1,"routes":[
+// softwareVersions are those that serve side by side.
+var softwareVersions = [2]string{"v1", "v2"}
+
+// changeConfig writes the next version of the configuration.
+func (cl *cluster) changeConfig() {
+	cl.putRow("op", "config", fmt.Sprintf(routeConfig, cl.configVersion.Add(1)))
+}
+
+const routeConfig = `{"version":%d,"routes":[
 {"name":"train","host":"h","path_prefix":"/train/","kind":"rollout","target_latency_ms":500,"deadline_ms":7500,"item_ttl_s":120,"max_attempts":3,"service":"lm"},
 {"name":"look","host":"h","path_prefix":"/look/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":250,"max_attempts":3,"service":"desk"},
 {"name":"once","host":"h","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":250,"max_attempts":3,"service":"desk"},
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -13,7 +13,7 @@
 )
 
 // faultKindCount is the number of kinds of faults.
-const faultKindCount = 19
+const faultKindCount = 23
 
 // injector injects random faults, which may overlap.
 type injector struct {
@@ -40,7 +40,10 @@
 
 // injectTemporary starts a fault and ends it after a random time, in a goroutine.
 func (in *injector) injectTemporary(name string, begin, end func()) {
-	period := time.Duration(300+in.rng.IntN(3500)) * time.Millisecond
+	in.injectFor(name, time.Duration(300+in.rng.IntN(3500))*time.Millisecond, begin, end)
+}
+
+func (in *injector) injectFor(name string, period time.Duration, begin, end func()) {
 	in.injected = append(in.injected, fmt.Sprintf("%s %v", name, period))
 	in.wait.Go(func() {
 		begin()
@@ -126,6 +129,26 @@
 	case 18:
 		target := in.randomTarget()
 		in.injectTemporary("responses without end", func() { target.SetEndless(true) }, func() { target.SetEndless(false) })
+	case 19, 20:
+		target, limit := in.randomTarget(), 1+3*in.rng.Float64()
+		in.injectFor("target names a limit", 5*time.Second+2*pause, func() { target.SetLimit(limit) }, func() { target.SetLimit(0) })
+	case 21:
+		in.injectTemporary("other software", func() { engine.SetSoftware(softwareVersions[in.rng.IntN(2)]) }, func() {})
+	case 22:
+		in.injectSeries()
+	}
+}
+
+// injectSeries restarts entries one after the other, each before the last is back, with
+// changes of the configuration in between.
+func (in *injector) injectSeries() {
+	for at, entry := range in.cluster.entries[:(entryCount+1)/2] {
+		sig := []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[in.rng.IntN(2)]
+		in.injectProcess(entry, "series "+sig.String(), func() {
+			time.Sleep(time.Duration(at) * 300 * time.Millisecond)
+			in.cluster.changeConfig()
+			in.cluster.restart(entry, sig)
+		})
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -213,6 +213,43 @@
 	}
 }
 
+// resumeStream takes up a stream that broke at any entry. What arrives must be the rest of
+// the same text.
+func (cl *cluster) resumeStream(id, text string) {
+	events := strings.Count(text, "\n\n")
+	if events == 0 {
+		return
+	}
+	text = text[:strings.LastIndex(text, "\n\n")+2]
+	for try := range 3 {
+		req, err := http.NewRequest(http.MethodPost, "http://"+cl.callerAddrs[(len(text)+try)%entryCount]+"/flow/x", strings.NewReader("body-"+id))
+		if err != nil {
+			cl.recordViolation("build a request: %v", err)
+			return
+		}
+		req.Host = "h"
+		for name, value := range map[string]string{"Request-Id": fmt.Sprintf("%s-again%d", id, try), "Deadline-Ms": "1500"} {
+			req.Header.Set("Bilberryshelf-"+name, value)
+		}
+		req.Header.Set("Last-Event-Id", fmt.Sprint(events))
+		req.Header.Set("Resumes", id)
+		res, err := newClient().Do(req)
+		if err != nil {
+			continue
+		}
+		rest, err := io.ReadAll(res.Body)
+		_ = res.Body.Close() // nothing more is read
+		if err != nil || res.StatusCode != http.StatusOK {
+			continue
+		}
+		cl.countResponse("resumed", res.StatusCode)
+		if text+string(rest) != expectedStream(id) {
+			cl.recordViolation("stream %s was resumed after event %d with other events: %.80q", id, events, rest)
+		}
+		return
+	}
+}
+
 // expectedStream returns the complete event stream of a request.
 func expectedStream(id string) string {
 	var text strings.Builder
@@ -226,6 +263,8 @@
 	defer res.Body.Close() // a close error after reading is harmless
 	body, err := io.ReadAll(res.Body)
 	switch {
+	case err != nil && kind == "flow":
+		cl.resumeStream(id, string(body))
 	case err != nil:
 	case res.StatusCode == http.StatusOK && kind == "flow":
 		if string(body) != expectedStream(id) || res.Header.Get("Bilberryshelf-Response-Stamp") != "stamp-"+id {
