--- a/intake/quota_test.go
+++ b/intake/quota_test.go
@@ -220,3 +220,25 @@
 		require.LessOrEqual(t, sent, 2*(2*3+2), "what both take in 3 s, and a burst of each")
 	})
 }
+
+// Scoring calls that waited for a permit were sent up to ten seconds after their job had been
+// ended. The platform permits three.
+func TestScoringCallsOutliveTheirJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3)
+		defer cl.stop()
+		for _, id := range []string{"desk1", "desk2"} {
+			cl.limits.Store(id, quota.Limit(0.5))
+			cl.call(0, "first "+id)
+		}
+		require.Nil(t, cl.submit(0, job("j1", 10)))
+		time.Sleep(6 * time.Second)
+		require.Nil(t, cl.entries[1].EndJob(context.Background(), "j1"))
+		time.Sleep(time.Second) // the owner may be another entry
+		from := time.Now()
+		time.Sleep(20 * time.Second)
+		for _, an := range cl.clients {
+			require.Zero(t, an.countSince("desk1", from)+an.countSince("desk2", from))
+		}
+	})
+}
--- a/runs/job.go
+++ b/runs/job.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"time"
@@ -26,6 +27,9 @@
 	body  *batch.Job
 	known batch.VersionedHead
 	route conf.Route
+	// ctx ends when the job is dropped; scoring calls end with it.
+	ctx    context.Context
+	cancel context.CancelFunc
 	// receivedAt is when this owner received the job.
 	receivedAt time.Time
 	// service runs all items of the job: engines of another service would have to
--- a/runs/lifecycle.go
+++ b/runs/lifecycle.go
@@ -33,6 +33,7 @@
 		}
 		jo := newJob(body, vh, route, listed)
 		jo.receivedAt = ow.Clock.Now()
+		jo.ctx, jo.cancel = context.WithCancel(ow.ctx)
 		ow.jobs[body.ID] = jo
 		logs.Info(ow.Logger, "job started", "id", body.ID, "route", route.Name, "model", body.Model, "step", body.Step,
 			"items", len(body.Items), "listed", len(listed), "oldest", body.MinVersion, "epoch", vh.Head.Epoch, "age", vh.Head.Age(ow.Clock.Now()))
@@ -136,6 +137,7 @@
 func (ow *Owner) drop(jo *job, why string) {
 	delete(ow.jobs, jo.body.ID)
 	jo.dropped = true
+	jo.cancel()
 	var partials []batch.Partial
 	for _, it := range jo.items {
 		jo.obsoleteRows = append(jo.obsoleteRows, it.rows...)
