calls: the refusal of a request that waits for a permit says so

Now the code is target-limit and Retry-After the issuer's estimate.

TestWaitForPermit (five cases) fails without it in the case with a full target: expected target-limit, actual full.

--- a/calls/calls.go
+++ b/calls/calls.go
@@ -382,10 +382,9 @@
 	if left := at.re.Deadline.Sub(at.fo.Clock.Now()); verdict == "" && left < at.latencyShare(minTimeShare) {
 		return core.Refuse(core.CodeDeadline, "only %v are left, too little for a target to respond", left)
 	}
-	if verdict == "" && len(at.limited) > 0 {
+	if notRun := verdict == "" || verdict == core.NotRun; notRun && len(at.limited) > 0 {
 		return at.limitError()
-	}
-	if verdict == "" || verdict == core.NotRun {
+	} else if notRun {
 		wait := at.fo.Balancer.retryAfter(at.fo.Clock.Now(), at.service, at.fo.IntN)
 		return core.Refuse(core.CodeFull, "no target of service %s takes the request", at.service).WithRetryAfter(wait)
 	}
--- a/soak/mutant_test.go
+++ b/soak/mutant_test.go
@@ -31,7 +31,7 @@
 	{"a job is accepted once", []edit{{"batch/ledger.go", "Expect: []table.Expect{{ID: HeadID(job), Version: from.Version}},", ""}}},
 	{"a completed text is not truncated", []edit{{"runs/step.go", "case out.Ending == Complete && len(", "case (out.Ending == Complete || out.Ending == Interrupted) && len("}}},
 	{"an event occurs once", []edit{{"platform/target.go", "if rq.After > 0 {", "if rq.After > 1000 {"}}},
-	{"refused means not run", []edit{{"calls/calls.go", "if verdict == \"\" || verdict == core.NotRun {", "if true {"}}},
+	{"refused means not run", []edit{{"calls/calls.go", "} else if notRun {", "} else if true {"}}},
 	{"a request that may run once runs once", []edit{{"calls/calls.go", "if (mayHaveRun && !repeatable(at.re.Route)) ||", "if (mayHaveRun && false) ||"}}},
 	{"a job continues after its owner fails", []edit{{"intake/adopt.go", "if !en.members.Dead(now, he.Owner) {", "if he.Owner != \"\" {"}}},
 	{"fencing tokens increase", []edit{{"order/guard.go", "gu.fence = version", "gu.fence = 1 << 40 / version"}}},
