--- a/quota/limits_test.go
+++ b/quota/limits_test.go
@@ -88,3 +88,25 @@
 	require.NoError(t, err)
 	require.Empty(t, text, "nobody has asked for long")
 }
+
+// A claim that came during the pause after an Ask was forgotten until the next one: nobody
+// looked again at the end of the pause.
+func TestClaimDuringThePause(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ls := &quota.Limits{}
+	due := ls.Due()
+	ls.Observe(target, now, quota.Reading{Limit: 2})
+	<-due
+	asks, _ := ls.Asks(now)
+	require.Len(t, asks, 1, "the limit is reported")
+	ls.Granted(now, asks[0], quota.Grant{Limit: 2, RetryAfter: time.Second})
+	<-due
+	_, next := ls.Asks(now)
+	require.Zero(t, next, "nothing to ask")
+	ls.Claim(now.Add(time.Millisecond), target, "r1", 0, 1)
+	require.Len(t, due, 1, "the next Asks tells when the pause ends")
+	<-due
+	asks, next = ls.Asks(now.Add(time.Millisecond))
+	require.Empty(t, asks)
+	require.False(t, next.IsZero())
+}
--- a/quota/permits.go
+++ b/quota/permits.go
@@ -33,7 +33,7 @@
 }
 
 // usable returns the position of the permits that a request of a priority may use, or -1:
-// those of its own priority or of a less urgent one, the least urgent first.
+// those of its own priority or else of a less urgent one.
 func (st *state) usable(now time.Time, priority int) int {
 	best := -1
 	for at, pe := range st.permits {
@@ -97,8 +97,9 @@
 	if st == nil {
 		return now
 	}
+	first := len(st.claims) == 0
 	st.claims[key] = claim{priority: priority, count: count, renewedAt: now}
-	if !st.asking && !now.Before(st.nextAskAt) {
+	if !st.asking && (first || !now.Before(st.nextAskAt)) {
 		ls.wake()
 	}
 	return st.permitAt
