--- a/quota/issuer_test.go
+++ b/quota/issuer_test.go
@@ -68,7 +68,7 @@
 	}, always(quota.Primary))
 	require.InDelta(t, 600, total(issued), 20)
 	scoring := len(issued["0/1"])
-	require.InDelta(t, 600/4, scoring, 30, "a quarter goes by age")
+	require.InDelta(t, 600/4, scoring, 30, "each fourth permit goes to the priority that waited longest")
 	for en := 1; en < 8; en++ {
 		require.InDelta(t, (600-scoring)/7, len(issued[fmt.Sprint(en, "/0")]), 15)
 	}
