--- a/intake/software_test.go
+++ b/intake/software_test.go
@@ -14,6 +14,8 @@
 // version only.
 func (cl *cluster) requireOneVersion(jo *batch.Job) {
 	cl.t.Helper()
+	cl.engines.mutex.Lock()
+	defer cl.engines.mutex.Unlock()
 	for _, it := range jo.Items {
 		require.LessOrEqual(cl.t, len(cl.engines.origins[it.ID]), 1, "%s has events of %v", it.ID, cl.engines.origins[it.ID])
 	}
@@ -89,12 +91,16 @@
 		cl.setSoftware("v1", "lm1", "lm2")
 		cl.setSoftware("v2", "lm3", "lm4")
 		time.Sleep(time.Second)
+		cl.engines.mutex.Lock()
 		cl.engines.hangFirst = true
+		cl.engines.mutex.Unlock()
 		jo := job("j1", 5)
 		require.Nil(t, cl.submit(0, jo))
 		time.Sleep(25 * time.Second)
 		cl.requireComplete(0, jo)
 		cl.requireOneVersion(jo)
+		cl.engines.mutex.Lock()
+		defer cl.engines.mutex.Unlock()
 		for _, it := range jo.Items {
 			require.Equal(t, length(it.ID), cl.engines.generated[it.ID], "%s: no event was generated twice", it.ID)
 		}
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -134,7 +134,8 @@
 	case 20:
 		in.limitTargets(cl.plainTargets, 8*time.Second+pause)
 	case 21:
-		in.injectTemporary("other software", func() { engine.SetSoftware(softwareVersions[in.rng.IntN(2)]) }, func() {})
+		version := softwareVersions[in.rng.IntN(2)]
+		in.injectTemporary("other software", func() { engine.SetSoftware(version) }, func() {})
 	case 22:
 		in.injectSeries()
 	}
