--- a/fleet/departure.go
+++ b/fleet/departure.go
@@ -26,31 +26,23 @@
 
 	mutex sync.Mutex
 	// lastListed maps a departing incarnation to the time when it was last listed.
-	lastListed map[incarnation]time.Time
+	lastListed map[Incarnation]time.Time
 }
 
-// incarnation identifies one start of a target.
-type incarnation struct {
-	id        string
-	startedAt int64
-}
-
-func (ta Target) incarnation() incarnation { return incarnation{ta.ID, ta.StartedAt} }
-
 // Announce records that a target announced its departure.
 func (de *Departures) Announce(now time.Time, ta Target) {
-	if de == nil || !de.add(now, ta.incarnation()) || de.OnAnnounced == nil {
+	if de == nil || !de.add(now, ta.Incarnation()) || de.OnAnnounced == nil {
 		return
 	}
 	de.OnAnnounced(ta)
 }
 
 // add records a departure and reports whether it is new.
-func (de *Departures) add(now time.Time, in incarnation) bool {
+func (de *Departures) add(now time.Time, in Incarnation) bool {
 	de.mutex.Lock()
 	defer de.mutex.Unlock()
 	if de.lastListed == nil {
-		de.lastListed = map[incarnation]time.Time{}
+		de.lastListed = map[Incarnation]time.Time{}
 	}
 	_, known := de.lastListed[in]
 	de.lastListed[in] = now
@@ -64,7 +56,7 @@
 	}
 	de.mutex.Lock()
 	defer de.mutex.Unlock()
-	_, found := de.lastListed[ta.incarnation()]
+	_, found := de.lastListed[ta.Incarnation()]
 	return found
 }
 
@@ -74,8 +66,8 @@
 	de.mutex.Lock()
 	defer de.mutex.Unlock()
 	for at := range all {
-		if _, found := de.lastListed[all[at].incarnation()]; found {
-			de.lastListed[all[at].incarnation()], all[at].Draining = now, true
+		if _, found := de.lastListed[all[at].Incarnation()]; found {
+			de.lastListed[all[at].Incarnation()], all[at].Draining = now, true
 		}
 	}
 	for in, listed := range de.lastListed {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -40,6 +40,15 @@
 	Models map[string]uint64
 }
 
+// Incarnation identifies one start of a target.
+type Incarnation struct {
+	ID        string
+	StartedAt int64
+}
+
+// Incarnation returns the incarnation that a target is.
+func (ta Target) Incarnation() Incarnation { return Incarnation{ta.ID, ta.StartedAt} }
+
 // Fleet holds the targets by id. It is not safe for concurrent use; its values are
 // never changed in place. The zero value is empty and ready to use.
 type Fleet struct {
--- a/quota/announce.go
+++ b/quota/announce.go
@@ -37,7 +37,7 @@
 	var all []announced
 	for key, bu := range is.buckets {
 		if !key.deputy && now.Sub(bu.askedAt) <= announceFor {
-			all = append(all, announced{key.target.id, key.target.startedAt, float64(bu.limit), now.Sub(bu.readAt).Milliseconds()})
+			all = append(all, announced{key.target.ID, key.target.StartedAt, float64(bu.limit), now.Sub(bu.readAt).Milliseconds()})
 		}
 	}
 	if len(all) == 0 {
--- a/quota/issuer.go
+++ b/quota/issuer.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"bilberryshelf/fleet"
 )
 
 // Role is why an entry is asked for permits.
@@ -50,7 +52,7 @@
 }
 
 type bucketKey struct {
-	target incarnation
+	target fleet.Incarnation
 	deputy bool
 }
 
@@ -103,7 +105,7 @@
 	if is.buckets == nil {
 		is.buckets = map[bucketKey]*bucket{}
 	}
-	key := bucketKey{incarnationOf(as.Target), ro == Deputy}
+	key := bucketKey{as.Target.Incarnation(), ro == Deputy}
 	bu := is.buckets[key]
 	if bu == nil {
 		bu = &bucket{filledAt: now, turns: map[int]int{}, claims: map[claimKey]*standing{}}
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -53,14 +53,6 @@
 	Malformed string
 }
 
-// incarnation identifies one start of a target.
-type incarnation struct {
-	id        string
-	startedAt int64
-}
-
-func incarnationOf(ta fleet.Target) incarnation { return incarnation{ta.ID, ta.StartedAt} }
-
 // Limits holds the limits of the targets as this entry knows them, and its permits. It is
 // safe for concurrent use. The zero value is ready to use; a nil *Limits has no limits.
 type Limits struct {
@@ -71,7 +63,7 @@
 	OnMalformed func(ta fleet.Target, text string)
 
 	mutex   sync.Mutex
-	targets map[incarnation]*state
+	targets map[fleet.Incarnation]*state
 	// changed is closed when permits arrive or a limit changes; due has room for one and
 	// gets a value when there may be something to ask.
 	changed, due chan struct{}
@@ -98,19 +90,19 @@
 // stateOf returns the state of a target. It creates it if needed.
 func (ls *Limits) stateOf(ta fleet.Target) *state {
 	if ls.targets == nil {
-		ls.targets, ls.changed = map[incarnation]*state{}, make(chan struct{})
+		ls.targets, ls.changed = map[fleet.Incarnation]*state{}, make(chan struct{})
 	}
-	st := ls.targets[incarnationOf(ta)]
+	st := ls.targets[ta.Incarnation()]
 	if st == nil {
 		st = &state{target: ta, claims: map[string]claim{}}
-		ls.targets[incarnationOf(ta)] = st
+		ls.targets[ta.Incarnation()] = st
 	}
 	return st
 }
 
 // limited returns the state of a target that has a limit, or nil.
 func (ls *Limits) limited(ta fleet.Target) *state {
-	if st := ls.targets[incarnationOf(ta)]; st != nil && st.limit > 0 {
+	if st := ls.targets[ta.Incarnation()]; st != nil && st.limit > 0 {
 		return st
 	}
 	return nil
@@ -132,7 +124,7 @@
 func (ls *Limits) observe(ta fleet.Target, sentAt time.Time, re Reading) (was Limit, changed, malformed bool) {
 	ls.mutex.Lock()
 	defer ls.mutex.Unlock()
-	if ls.targets[incarnationOf(ta)] == nil && re == (Reading{}) {
+	if ls.targets[ta.Incarnation()] == nil && re == (Reading{}) {
 		return 0, false, false
 	}
 	st := ls.stateOf(ta)
@@ -177,7 +169,7 @@
 	ls.mutex.Lock()
 	defer ls.mutex.Unlock()
 	if ls.changed == nil {
-		ls.targets, ls.changed = map[incarnation]*state{}, make(chan struct{})
+		ls.targets, ls.changed = map[fleet.Incarnation]*state{}, make(chan struct{})
 	}
 	return ls.changed
 }
--- a/soak/mutant_test.go
+++ b/soak/mutant_test.go
@@ -38,7 +38,7 @@
 	{"no text from weights older than allowed", []edit{{"place/snapshot.go", "en.continues(it) && en.Version >= it.MinVersion && (fi", "en.continues(it) && (fi"}, {"runs/job.go", "if ev.Version < minVersion {", "if ev.Version == 0 {"}}},
 	{"an interrupted stream never looks complete", []edit{{"platform/stream.go", "panic(http.ErrAbortHandler)", "return"}}},
 	{"a request that crashes targets reaches only a few", []edit{{"calls/calls.go", "at.latencyShare(minTimeShare) || at.condemned() != nil {", "at.latencyShare(minTimeShare) {"}}},
-	{"a target that leaves gets no new work", []edit{{"fleet/departure.go", "_, found := de.lastListed[ta.incarnation()]\n	return found", "return false"}, {"fleet/departure.go", "de.lastListed[all[at].incarnation()], all[at].Draining = now, true", "de.lastListed[all[at].incarnation()] = now"}}},
+	{"a target that leaves gets no new work", []edit{{"fleet/departure.go", "_, found := de.lastListed[ta.Incarnation()]\n	return found", "return false"}, {"fleet/departure.go", "de.lastListed[all[at].Incarnation()], all[at].Draining = now, true", "de.lastListed[all[at].Incarnation()] = now"}}},
 	{"a response without end is never complete", []edit{{"limit/read.go", "case total > most:\n			return nil, ErrTooLarge", "case total > most:\n			return chunk, nil"}}},
 	{"a target gets no more than its limit", []edit{{"quota/limits.go", "st != nil && st.limit > 0 {", "st != nil && st.limit > 1e9 {"}}},
 	{"a text goes on at the software that began it", []edit{{"place/snapshot.go", "return it.Software == \"\" || en.Software == it.Software", "return true"}, {"runs/step.go", "it.software != en.target.Software {", "false {"}}},
