quota, calls, runs, guard: one place for what happens when a permit is taken

calls and runs each took a permit, then asked for the limit again under the lock to count the request: two locks for each request on a target without any limit. Limits.OnTake does it once, and only for permits. Limits prepares its zero value in one place instead of three.

The guard logged a change by comparing the limit before and after, beside Limits.OnChange, and dropped a text that is no rate without a line; it uses both callbacks now. That line (event=target-limit-malformed) is the one new behaviour.

--- a/calls/calls.go
+++ b/calls/calls.go
@@ -337,11 +337,9 @@
 		return core.Refuse(core.CodeDeadline, "deadline exceeded before the request was sent to target %s", ta.ID)
 	case !fo.Rates.Take(now, ta, re.Route.Priority):
 		return core.Refuse(core.CodeTargetLimit, "no permit for target %s", ta.ID)
+	default:
+		return nil
 	}
-	if fo.Rates.Limit(ta) > 0 {
-		fo.Meters.Count("limited-requests", ta.ID, 1)
-	}
-	return nil
 }
 
 // recordTooLarge logs and counts a response that exceeded the limits on its size.
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		return nil, gu.sendError(err)
 	}
-	gu.rate.observe(gu.logger, ru.target, sentAt, res.Header)
+	gu.rate.observe(ru.target, sentAt, res.Header)
 	defer res.Body.Close() // nothing more is read from the body
 	if refused := gu.engineRefusal(res); refused != nil {
 		return nil, refused
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -128,6 +128,7 @@
 		runsPerLoan:    map[string]int{},
 		leadEstimators: map[string]*loan.LeadEstimator{},
 	}
+	gu.rate.logTo(gu.logger)
 	return gu
 }
 
--- a/guard/rate.go
+++ b/guard/rate.go
@@ -39,11 +39,17 @@
 	return core.Refuse(core.CodeTargetLimit, "the target takes %v requests per second", float64(li)).WithRetryAfter(gr.RetryAfter)
 }
 
-// observe records what a response says about the target's limit.
-func (rl *rateLimit) observe(lg log.Logger, ta fleet.Target, sentAt time.Time, header http.Header) {
-	was := rl.limits.Limit(ta)
-	rl.limits.Observe(ta, sentAt, quota.ParseReading(header.Get(engine.RateLimitHeader)))
-	if is := rl.limits.Limit(ta); is != was {
+// logTo has changes of the limit logged, and texts that are no limit.
+func (rl *rateLimit) logTo(lg log.Logger) {
+	rl.limits.OnChange = func(_ fleet.Target, was, is quota.Limit) {
 		level.Info(lg).Log("event", "target-limit", "per-second", float64(is), "before", float64(was))
 	}
+	rl.limits.OnMalformed = func(_ fleet.Target, text string) {
+		level.Warn(lg).Log("event", "target-limit-malformed", "text", text)
+	}
+}
+
+// observe records what a response says about the target's limit.
+func (rl *rateLimit) observe(ta fleet.Target, sentAt time.Time, header http.Header) {
+	rl.limits.Observe(ta, sentAt, quota.ParseReading(header.Get(engine.RateLimitHeader)))
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -159,7 +159,7 @@
 	if en.rates == nil {
 		en.rates = &quota.Limits{}
 	}
-	en.rates.OnChange, en.rates.OnMalformed = en.limitChanged, en.limitMalformed
+	en.rates.OnChange, en.rates.OnMalformed, en.rates.OnTake = en.limitChanged, en.limitMalformed, en.permitTaken
 	en.bodyMemory.Max = se.MaxBodyBytes
 	en.ctx, en.stop = context.WithCancel(context.Background())
 	en.store = &relay.Store{Direct: po.Direct, Peers: en.peers, Clock: clock, Logger: lg}
--- a/intake/quota.go
+++ b/intake/quota.go
@@ -35,6 +35,9 @@
 	logs.Warn(en.logger, "target names a limit that is no rate, ignored", "id", ta.ID, "service", ta.Service, "text", text)
 }
 
+// permitTaken counts a request or item that is sent to a target with a limit.
+func (en *Entry) permitTaken(ta fleet.Target) { en.meters.Count("limited-requests", ta.ID, 1) }
+
 // askForPermits asks the issuers for the permits that requests and jobs wait for, and
 // tells them of limits.
 func (en *Entry) askForPermits(ctx context.Context) {
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -57,10 +57,11 @@
 // safe for concurrent use. The zero value is ready to use; a nil *Limits has no limits.
 type Limits struct {
 	// OnChange is called when the limit of a target changes, OnMalformed the first time
-	// that an incarnation names something that is no rate. Both may be nil; set them
-	// before use.
+	// that an incarnation names something that is no rate, OnTake for each permit that is
+	// taken. All may be nil; set them before use.
 	OnChange    func(ta fleet.Target, was, is Limit)
 	OnMalformed func(ta fleet.Target, text string)
+	OnTake      func(ta fleet.Target)
 
 	mutex   sync.Mutex
 	targets map[fleet.Incarnation]*state
@@ -87,11 +88,16 @@
 	permitAt time.Time
 }
 
-// stateOf returns the state of a target. It creates it if needed.
-func (ls *Limits) stateOf(ta fleet.Target) *state {
+// init prepares the zero value.
+func (ls *Limits) init() {
 	if ls.targets == nil {
-		ls.targets, ls.changed = map[fleet.Incarnation]*state{}, make(chan struct{})
+		ls.targets, ls.changed, ls.due = map[fleet.Incarnation]*state{}, make(chan struct{}), make(chan struct{}, 1)
 	}
+}
+
+// stateOf returns the state of a target. It creates it if needed.
+func (ls *Limits) stateOf(ta fleet.Target) *state {
+	ls.init()
 	st := ls.targets[ta.Incarnation()]
 	if st == nil {
 		st = &state{target: ta, claims: map[string]claim{}}
@@ -168,9 +174,7 @@
 	}
 	ls.mutex.Lock()
 	defer ls.mutex.Unlock()
-	if ls.changed == nil {
-		ls.targets, ls.changed = map[fleet.Incarnation]*state{}, make(chan struct{})
-	}
+	ls.init()
 	return ls.changed
 }
 
--- a/quota/permits.go
+++ b/quota/permits.go
@@ -70,18 +70,26 @@
 	if ls == nil {
 		return true
 	}
+	limited, taken := ls.take(now, ta, priority)
+	if taken && ls.OnTake != nil {
+		ls.OnTake(ta)
+	}
+	return taken || !limited
+}
+
+func (ls *Limits) take(now time.Time, ta fleet.Target, priority int) (limited, taken bool) {
 	ls.mutex.Lock()
 	defer ls.mutex.Unlock()
 	st := ls.limited(ta)
 	if st == nil {
-		return true
+		return false, false
 	}
 	at := st.usable(now, priority)
 	if at < 0 {
-		return false
+		return true, false
 	}
 	st.permits[at].count--
-	return true
+	return true, true
 }
 
 // Claim asks for permits on behalf of a request or job, named by key. A claim stands for
@@ -129,9 +137,6 @@
 
 // wake has the goroutine that asks for permits look for what is due.
 func (ls *Limits) wake() {
-	if ls.due == nil {
-		ls.due = make(chan struct{}, 1)
-	}
 	select {
 	case ls.due <- struct{}{}:
 	default:
@@ -142,9 +147,7 @@
 func (ls *Limits) Due() <-chan struct{} {
 	ls.mutex.Lock()
 	defer ls.mutex.Unlock()
-	if ls.due == nil {
-		ls.due = make(chan struct{}, 1)
-	}
+	ls.init()
 	return ls.due
 }
 
--- a/runs/step.go
+++ b/runs/step.go
@@ -207,9 +207,6 @@
 	if !ow.Rates.Take(ow.Clock.Now(), ta, priority) {
 		return Outcome{Ending: Limited, Detail: "no permit"}
 	}
-	if ow.Rates.Limit(ta) > 0 {
-		ow.Meters.Count("limited-requests", ta.ID, 1)
-	}
 	return ow.Engine.Run(ctx, ta, rq, event)
 }
 
