intake, member: records for issuers, one order by rendezvous weight

intake copied the names and addresses of the issuers from []member.Record into a type with two parallel slices; the records serve. The comparison by rendezvous weight stood in ranked and in Replicas. Behaviour is unchanged.

--- a/intake/quota.go
+++ b/intake/quota.go
@@ -8,6 +8,7 @@
 
 	"bilberryshelf/fleet"
 	"bilberryshelf/logs"
+	"bilberryshelf/member"
 	"bilberryshelf/quota"
 	"bilberryshelf/wire"
 )
@@ -64,45 +65,37 @@
 // ask sends an Ask to the issuer or, if it does not respond, to its deputy.
 func (en *Entry) ask(ctx context.Context, as quota.Ask) {
 	issuers := en.issuers(as.Target.ID)
-	for at, name := range issuers.names {
+	for at, is := range issuers {
 		deputy := at > 0
-		if !deputy && len(issuers.names) > 1 && en.issuerFailed(name) {
+		if !deputy && len(issuers) > 1 && en.issuerFailed(is.Name) {
 			continue
 		}
-		gr, err := en.askIssuer(ctx, name, issuers.addrs[at], as, deputy)
+		gr, err := en.askIssuer(ctx, is, as, deputy)
 		if err == nil {
 			en.rates.Granted(en.clock.Now(), as, gr)
 			return
 		}
-		en.setIssuerFailed(name)
-		en.meters.Count("permit-calls-failed", name, 1)
+		en.setIssuerFailed(is.Name)
+		en.meters.Count("permit-calls-failed", is.Name, 1)
 		if ctx.Err() == nil {
-			logs.Info(en.logger, "issuer of permits does not respond", "target", as.Target.ID, "issuer", name, "deputy", deputy, "err", err)
+			logs.Info(en.logger, "issuer of permits does not respond", "target", as.Target.ID, "issuer", is.Name, "deputy", deputy, "err", err)
 		}
 	}
 	en.rates.Failed(en.clock.Now(), as)
 }
 
-// issuerList holds the names and addresses of the issuer of a target's permits and its
-// deputy.
-type issuerList struct {
-	names, addrs []string
-}
-
-func (il issuerList) first(name string) bool { return len(il.names) > 0 && il.names[0] == name }
-
-func (en *Entry) issuers(target string) issuerList {
+// issuers returns the issuer of a target's permits and its deputy.
+func (en *Entry) issuers(target string) []member.Record {
 	en.mutex.Lock()
 	defer en.mutex.Unlock()
-	return en.issuersLocked(target)
+	return en.members.Issuers(en.clock.Now(), target)
 }
 
-func (en *Entry) issuersLocked(target string) issuerList {
-	var il issuerList
-	for _, re := range en.members.Issuers(en.clock.Now(), target) {
-		il.names, il.addrs = append(il.names, re.Name), append(il.addrs, re.Addr)
-	}
-	return il
+// isIssuer reports whether this entry is the issuer of a target's permits by its own view.
+// The caller holds the mutex.
+func (en *Entry) isIssuer(target string) bool {
+	issuers := en.members.Issuers(en.clock.Now(), target)
+	return len(issuers) > 0 && issuers[0].Name == en.name
 }
 
 // sweepIssuers forgets the targets of which this entry is no longer the issuer.
@@ -111,13 +104,13 @@
 	defer en.mutex.Unlock()
 	en.members.ChangedAt(en.clock.Now()) // notices changes in time
 	for target := range en.issuerSince {
-		if !en.issuersLocked(target).first(en.name) {
+		if !en.isIssuer(target) {
 			delete(en.issuerSince, target)
 		}
 	}
 }
 
-func (en *Entry) askIssuer(ctx context.Context, name, addr string, as quota.Ask, deputy bool) (quota.Grant, error) {
+func (en *Entry) askIssuer(ctx context.Context, is member.Record, as quota.Ask, deputy bool) (quota.Grant, error) {
 	req := &wire.PermitsRequest{
 		Entry: en.name, Target: as.Target.ID, StartedAt: as.Target.StartedAt, Limit: float64(as.Limit), AgeNanos: int64(as.ReadAge),
 		Counts: toWireCounts(as.Counts), Deputy: deputy,
@@ -128,10 +121,10 @@
 		res *wire.PermitsResponse
 		err error
 	)
-	if name == en.name {
+	if is.Name == en.name {
 		res, err = en.Permits(call, req)
 	} else {
-		res, err = en.issuer(addr).Permits(call, req)
+		res, err = en.issuer(is.Addr).Permits(call, req)
 	}
 	if err != nil {
 		return quota.Grant{}, errors.Wrap(err, "ask for permits")
@@ -173,7 +166,7 @@
 	en.mutex.Lock()
 	defer en.mutex.Unlock()
 	now := en.clock.Now()
-	if deputy || !en.issuersLocked(target).first(en.name) {
+	if deputy || !en.isIssuer(target) {
 		return quota.Deputy
 	}
 	since, known := en.issuerSince[target]
--- a/member/member.go
+++ b/member/member.go
@@ -186,11 +186,16 @@
 			}
 			return 1
 		}
-		return cmp.Compare(core.Rendezvous(route, rhs.Name), core.Rendezvous(route, lhs.Name))
+		return compareWeights(route, lhs, rhs)
 	})
 	return ranked
 }
 
+// compareWeights orders entries by their rendezvous weight for a key, the highest first.
+func compareWeights(key string, lhs, rhs Record) int {
+	return cmp.Compare(core.Rendezvous(key, rhs.Name), core.Rendezvous(key, lhs.Name))
+}
+
 // issuerCount is the number of entries that may issue the permits of a target: the issuer
 // and its deputy.
 const issuerCount = 2
@@ -210,9 +215,7 @@
 // among the first of the domains.
 func (vi *View) Replicas(now time.Time, id, except string) []Record {
 	all := slices.DeleteFunc(vi.Live(now), func(re Record) bool { return re.Stopping || re.Name == except })
-	slices.SortFunc(all, func(lhs, rhs Record) int {
-		return cmp.Compare(core.Rendezvous(id, rhs.Name), core.Rendezvous(id, lhs.Name))
-	})
+	slices.SortFunc(all, func(lhs, rhs Record) int { return compareWeights(id, lhs, rhs) })
 	perDomain, rank := map[string]int{}, map[string]int{}
 	for _, re := range all {
 		rank[re.Name] = perDomain[re.Domain]
