runs, calls: the job instead of three of its parts, a time that needs no comparison

engineViews took service, model and priority, which both callers read from the same job. An item waits from when its job was received, set once, rather than from the later of two times at each look. routes uses slices.ContainsFunc. Behaviour is unchanged.

--- a/calls/origin.go
+++ b/calls/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"bilberryshelf/conf"
 	"bilberryshelf/core"
@@ -50,10 +51,5 @@
 
 // routes reports whether a route sends requests to a service.
 func routes(ro conf.Route, service string) bool {
-	for _, sh := range ro.Shares {
-		if sh.Service == service {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(ro.Shares, func(sh conf.Share) bool { return sh.Service == service })
 }
--- a/runs/job.go
+++ b/runs/job.go
@@ -130,8 +130,8 @@
 	// software is the version of the software that generated the events.
 	software string
 	complete bool
-	// waitingSince is when the last run ended; beginsAnew is set if it was canceled to
-	// begin the text anew.
+	// waitingSince is when the last run ended, at first when the job was received.
+	// beginsAnew is set if the run was canceled to begin the text anew.
 	waitingSince time.Time
 	beginsAnew   bool
 	// resumed is set if the text began as one that an earlier job or owner saved.
--- a/runs/lifecycle.go
+++ b/runs/lifecycle.go
@@ -33,6 +33,9 @@
 		}
 		jo := newJob(body, vh, route, listed)
 		jo.receivedAt = ow.Clock.Now()
+		for _, it := range jo.items {
+			it.waitingSince = jo.receivedAt
+		}
 		jo.ctx, jo.cancel = context.WithCancel(ow.ctx)
 		ow.jobs[body.ID] = jo
 		logs.Info(ow.Logger, "job started", "id", body.ID, "route", route.Name, "model", body.Model, "step", body.Step,
--- a/runs/models.go
+++ b/runs/models.go
@@ -54,19 +54,19 @@
 	return 0, false
 }
 
-// engineViews returns the engines of a service in the form that place expects. It
+// engineViews returns the engines of a job's service in the form that place expects. It
 // first updates which engines are being emptied.
-func (ow *Owner) engineViews(now time.Time, service, model string, priority int) []place.Engine {
+func (ow *Owner) engineViews(now time.Time, jo *job) []place.Engine {
 	var views []place.Engine
 	for _, en := range ow.engines {
 		served := ow.servedModels[en.target.Addr]
 		en.endEmptying(now, en.version(served) >= ow.announced[served])
-		if en.target.Service == service && !en.target.Draining {
-			vi := en.view(now, model)
-			vi.Memory = ow.memory[service]
-			vi.Limited, vi.Permits = ow.Rates.Permits(now, en.target, priority)
+		if en.target.Service == jo.service && !en.target.Draining {
+			vi := en.view(now, jo.body.Model)
+			vi.Memory = ow.memory[jo.service]
+			vi.Limited, vi.Permits = ow.Rates.Permits(now, en.target, jo.route.Priority)
 			vi.LoadingFor, vi.Loading = ow.loading(now, en.target.Addr)
-			vi.Model, vi.OtherModel = served, served != "" && served != model
+			vi.Model, vi.OtherModel = served, served != "" && served != jo.body.Model
 			vi.Stale = order.Stale(en.version(served), ow.announced[served])
 			views = append(views, vi)
 		}
--- a/runs/step.go
+++ b/runs/step.go
@@ -83,7 +83,7 @@
 // placeJob starts the waiting items of a job, and moves the runs that should move
 // to other engines.
 func (ow *Owner) placeJob(now time.Time, jo *job) {
-	snapshot := place.NewSnapshot(ow.engineViews(now, jo.service, jo.body.Model, jo.route.Priority))
+	snapshot := place.NewSnapshot(ow.engineViews(now, jo))
 	queue := jo.queue(now, snapshot)
 	if len(queue) == 0 {
 		return
@@ -121,7 +121,7 @@
 	for at, it := range jo.items {
 		wi := place.Item{
 			Index: at, Group: it.item.Group, Required: it.resumed, RemainingEvents: it.remainingEvents(), Load: it.load(0), Tokens: it.item.PromptTokens + it.outputTokens(),
-			MinVersion: jo.body.MinVersion, Avoid: it.avoid, Software: it.requiredSoftware(), Waited: now.Sub(latest(it.waitingSince, jo.receivedAt)),
+			MinVersion: jo.body.MinVersion, Avoid: it.avoid, Software: it.requiredSoftware(), Waited: now.Sub(it.waitingSince),
 		}
 		switch {
 		case it.state == waiting && !now.Before(it.notBefore):
@@ -140,13 +140,6 @@
 	return queue
 }
 
-func latest(lhs, rhs time.Time) time.Time {
-	if lhs.After(rhs) {
-		return lhs
-	}
-	return rhs
-}
-
 // assign assigns an item to an engine. A waiting item is started. A running one is
 // canceled, and is placed again when its run has ended.
 func (ow *Owner) assign(now time.Time, jo *job, snapshot *place.Snapshot, at int, wi place.Item) {
@@ -169,7 +162,7 @@
 func (ow *Owner) startRun(now time.Time, jo *job, it *item, en *engine) {
 	if len(it.events) > 0 && it.software != en.target.Software {
 		logs.Info(ow.Logger, "text begun anew", "job", jo.body.ID, "id", it.item.ID, "events", len(it.events), "software", it.software,
-			"engine", en.target.ID, "waited", now.Sub(latest(it.waitingSince, jo.receivedAt)))
+			"engine", en.target.ID, "waited", now.Sub(it.waitingSince))
 		ow.Meters.Count("texts-begun-anew", jo.route.Name, 1)
 		it.reset()
 	}
@@ -219,7 +212,7 @@
 			return
 		}
 	}
-	views := ow.engineViews(now, jo.service, jo.body.Model, jo.route.Priority)
+	views := ow.engineViews(now, jo)
 	for _, at := range place.ChooseForLoad(views, jo.body.Model, jo.body.MinVersion, announced) {
 		en := ow.engines[views[at].ID]
 		en.emptiedAt = now
