--- a/boot/node.go
+++ b/boot/node.go
@@ -31,8 +31,8 @@
 	// step start at once.
 	minJobCores = 0.5
 	// maxBodyShare is the share of the instance's memory that the bodies of requests may
-	// take, and that those of responses may take while they are read. It is small because a job is also held decoded, encoded and in the text of a
-	// call.
+	// take, and that those of responses may take while they are read. It is small because
+	// a job is also held decoded, encoded and in the text of a call.
 	maxBodyShare = 0.125
 	// gcPercent keeps the heap small, because the cost of memory depends on its peak.
 	gcPercent = 50
--- a/intake/follow.go
+++ b/intake/follow.go
@@ -164,7 +164,7 @@
 // targetLeaves ends new work on a target that announced in a response that it leaves.
 // It returns once the forwarder chooses among the others.
 func (en *Entry) targetLeaves(ta fleet.Target) {
-	logs.Info(en.logger, "target leaves, it says", "id", ta.ID, "service", ta.Service, "addr", ta.Addr, "started", ta.StartedAt)
+	logs.Info(en.logger, "target announced its departure", "id", ta.ID, "service", ta.Service, "addr", ta.Addr, "started", ta.StartedAt)
 	en.meters.Count("targets-leaving", ta.Service, 1)
 	en.publishTargets()
 }
--- a/steps/record.go
+++ b/steps/record.go
@@ -1,7 +1,6 @@
 package steps
 
 import (
-	"bufio"
 	"io"
 	"strconv"
 	"strings"
@@ -9,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logfmt/logfmt"
+
+	"bilberryshelf/logs"
 )
 
 // Recording collects the log lines of several processes. The zero value is empty and ready
@@ -40,14 +41,10 @@
 	reason string
 }
 
-// maxLine is the length of the longest log line that can be read, in bytes.
-const maxLine = 1 << 20
-
 // Read adds the lines of a log. Lines that are not those of a step are passed over; text
 // before the time of a line is ignored.
 func (re *Recording) Read(rd io.Reader) error {
-	sc := bufio.NewScanner(rd)
-	sc.Buffer(nil, maxLine)
+	sc := logs.NewScanner(rd)
 	for sc.Scan() {
 		if _, rest, found := strings.Cut(sc.Text(), "at="); found {
 			re.add(parse("at=" + rest))
--- a/subcmd/explain.go
+++ b/subcmd/explain.go
@@ -1,7 +1,6 @@
 package subcmd
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"os"
@@ -9,6 +8,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"bilberryshelf/logs"
 )
 
 // explainCommand collects the log lines of one request from the log files of
@@ -21,9 +22,6 @@
 	} `positional-args:"yes"`
 }
 
-// maxLineBytes is the length of the longest log line that can be read.
-const maxLineBytes = 1 << 20
-
 // Execute prints the lines that contain the id, ordered by time.
 func (co *explainCommand) Execute([]string) error {
 	var lines []string
@@ -56,8 +54,7 @@
 		return nil, 0, errors.Wrap(err, "read the logs")
 	}
 	defer fi.Close() // an error on closing a file opened for reading is harmless
-	sc := bufio.NewScanner(fi)
-	sc.Buffer(nil, maxLineBytes)
+	sc := logs.NewScanner(fi)
 	for sc.Scan() {
 		line := strings.TrimSpace(sc.Text())
 		switch {
