member: a change of rank counts as a change, and is noticed without hashing

The order for that key also says too little: an entry that becomes near to the store may become first for other keys while the order for this one stays, so that a new issuer did not know itself as one. Now the eligible entries and what ranks them are compared; the filter stands once.

TestChangedAt fails on the code before, at the entry that becomes near to the store; the rest of it passes there.

--- a/member/member.go
+++ b/member/member.go
@@ -80,9 +80,9 @@
 	confirmedAt time.Time
 	// freshSince is when the rows last became fresh after they had been outdated.
 	freshSince time.Time
-	// liveNames are the names of the live entries when they last changed, at changedAt.
-	liveNames string
-	changedAt time.Time
+	// lastEligible are the eligible entries when they last changed, at changedAt.
+	lastEligible []Record
+	changedAt    time.Time
 }
 
 // Put updates the view from a row. A value that cannot be decoded is ignored and
@@ -171,14 +171,14 @@
 	return !alive
 }
 
+// eligible returns the live entries that can own jobs and issue permits, sorted by name.
+func (vi *View) eligible(now time.Time) []Record {
+	return slices.DeleteFunc(vi.Live(now), func(re Record) bool { return re.Stopping || re.LowCapacity })
+}
+
 // ranked returns the entries that can own the jobs of a route, in the order of rule 4.
 func (vi *View) ranked(now time.Time, route string) []Record {
-	var ranked []Record
-	for _, re := range vi.Live(now) {
-		if !re.Stopping && !re.LowCapacity {
-			ranked = append(ranked, re)
-		}
-	}
+	ranked := vi.eligible(now)
 	slices.SortFunc(ranked, func(lhs, rhs Record) int {
 		if lhs.NearStore != rhs.NearStore {
 			if lhs.NearStore {
@@ -225,14 +225,12 @@
 	return all
 }
 
-// ChangedAt returns when the set of live entries last changed.
+// ChangedAt returns when the live entries, or what ranks them, last changed.
 func (vi *View) ChangedAt(now time.Time) time.Time {
-	names := ""
-	for _, re := range vi.ranked(now, "") {
-		names += re.Name + " "
-	}
-	if names != vi.liveNames {
-		vi.liveNames, vi.changedAt = names, now
+	eligible := vi.eligible(now)
+	same := func(lhs, rhs Record) bool { return lhs.Name == rhs.Name && lhs.NearStore == rhs.NearStore }
+	if !slices.EqualFunc(eligible, vi.lastEligible, same) {
+		vi.lastEligible, vi.changedAt = eligible, now
 	}
 	return vi.changedAt
 }
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -138,3 +138,25 @@
 	}
 	require.Equal(t, [][]byte{{0xff, 0}}, vi.Announcements(rows))
 }
+
+// A change of what ranks the entries counts as well as one of who lives: another entry may
+// be first for some key, though the order for others is the same.
+func TestChangedAt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var vi member.View
+	put := func(re member.Record) { require.NoError(t, vi.Put(now, row(t, re.Name, re))) }
+	put(member.Record{Name: "n1", Heartbeat: 1})
+	vi.Confirm(now)
+	began := now
+	require.Equal(t, began, vi.ChangedAt(now))
+	now = now.Add(time.Second)
+	put(member.Record{Name: "n1", Heartbeat: 2})
+	put(member.Record{Name: "n2", LowCapacity: true})
+	require.Equal(t, began, vi.ChangedAt(now), "heartbeats and small entries change nothing")
+	for _, re := range []member.Record{{Name: "n3"}, {Name: "n3", NearStore: true}, {Name: "n3", NearStore: true, Stopping: true}} {
+		now = now.Add(time.Second)
+		put(re)
+		require.Equal(t, now, vi.ChangedAt(now), "%+v", re)
+		require.Equal(t, now, vi.ChangedAt(now.Add(time.Millisecond)))
+	}
+}
