intake: tests share a peer's refusal, the offer of requests and the mixed cluster

Four clients repeated the check whether their entry has ended, one test repeated the loop of offer for a single entry, two the set-up of two software versions. Assertions are unchanged; offer adds its own to the test that repeated it: each refusal is not-run with a Retry-After.

--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -386,8 +386,12 @@
 	}
 }
 
-// starter returns a client of the entry at an inner address.
-func (cl *cluster) starter(addr string) intake.Starter {
+// starter, issuer and origins return a client of the entry at an inner address.
+func (cl *cluster) starter(addr string) intake.Starter      { return cl.peer(addr) }
+func (cl *cluster) issuer(addr string) intake.Issuer        { return cl.peer(addr) }
+func (cl *cluster) origins(addr string) intake.OriginClient { return cl.peer(addr) }
+
+func (cl *cluster) peer(addr string) *peer {
 	at, err := strconv.Atoi(strings.TrimPrefix(addr, "n"))
 	require.NoError(cl.t, err)
 	return &peer{cluster: cl, at: at}
@@ -399,46 +403,45 @@
 	at      int
 }
 
-func (pe *peer) Start(ctx context.Context, req *wire.StartRequest) (*wire.StartResponse, error) {
-	select {
-	case <-pe.cluster.ended[pe.at]:
+// entry returns the entry, or an error once it has ended.
+func (pe *peer) entry() (*intake.Entry, error) {
+	if !pe.cluster.runs(pe.at) {
 		return nil, errors.New("connection refused")
-	default:
-		return pe.cluster.entries[pe.at].Start(ctx, req)
 	}
+	return pe.cluster.entries[pe.at], nil
 }
 
-// issuer returns a client that asks the entry at an inner address for permits.
-func (cl *cluster) issuer(addr string) intake.Issuer { return cl.starter(addr).(*peer) }
-
-// origins returns a client for the origins of streams at the entry at an inner address.
-func (cl *cluster) origins(addr string) intake.OriginClient { return cl.starter(addr).(*peer) }
+func (pe *peer) Start(ctx context.Context, req *wire.StartRequest) (*wire.StartResponse, error) {
+	en, err := pe.entry()
+	if err != nil {
+		return nil, err
+	}
+	return en.Start(ctx, req)
+}
 
 func (pe *peer) RecordOrigin(ctx context.Context, req *wire.RecordOriginRequest) (*wire.RecordOriginResponse, error) {
-	select {
-	case <-pe.cluster.ended[pe.at]:
-		return nil, errors.New("connection refused")
-	default:
-		return pe.cluster.entries[pe.at].RecordOrigin(ctx, req)
+	en, err := pe.entry()
+	if err != nil {
+		return nil, err
 	}
+	return en.RecordOrigin(ctx, req)
 }
 
 func (pe *peer) FindOrigin(ctx context.Context, req *wire.FindOriginRequest) (*wire.FindOriginResponse, error) {
-	select {
-	case <-pe.cluster.ended[pe.at]:
-		return nil, errors.New("connection refused")
-	default:
-		return pe.cluster.entries[pe.at].FindOrigin(ctx, req)
+	en, err := pe.entry()
+	if err != nil {
+		return nil, err
 	}
+	return en.FindOrigin(ctx, req)
 }
 
 func (pe *peer) Permits(ctx context.Context, req *wire.PermitsRequest) (*wire.PermitsResponse, error) {
-	select {
-	case <-pe.cluster.ended[pe.at]:
-		return nil, errors.New("connection refused")
-	case <-time.After(5 * time.Millisecond):
-		return pe.cluster.entries[pe.at].Permits(ctx, req)
+	time.Sleep(5 * time.Millisecond)
+	en, err := pe.entry()
+	if err != nil {
+		return nil, err
 	}
+	return en.Permits(ctx, req)
 }
 
 // shiftSubmitted shifts a job's submission time, as if the entry that accepted the
--- a/intake/quota_test.go
+++ b/intake/quota_test.go
@@ -59,13 +59,18 @@
 	return err
 }
 
-// offer sends plain requests to all entries in turn for a while, one per interval, and
-// returns the numbers of those served and refused.
-func (cl *cluster) offer(name string, interval, duration time.Duration) (served, refused int) {
+// offer sends plain requests to the entries of these nodes in turn, of all if there are none,
+// for a while, one per interval, and returns the numbers of those served and refused.
+func (cl *cluster) offer(name string, interval, duration time.Duration, nodes ...int) (served, refused int) {
+	if len(nodes) == 0 {
+		for node := range cl.entries {
+			nodes = append(nodes, node)
+		}
+	}
 	results := make(chan *core.Error, 10000)
 	sent := 0
 	for began := time.Now(); time.Since(began) < duration; sent++ {
-		go func(at int) { results <- cl.tryCall(at%len(cl.entries), fmt.Sprint(name, at)) }(sent)
+		go func(at int) { results <- cl.tryCall(nodes[at%len(nodes)], fmt.Sprint(name, at)) }(sent)
 		time.Sleep(interval)
 	}
 	for range sent {
@@ -124,18 +129,7 @@
 		cl.call(0, "first")
 		cl.call(0, "second")
 		time.Sleep(quota.TakeoverTime)
-		sent := 0
-		results := make(chan *core.Error, 1000)
-		for began := time.Now(); time.Since(began) < 10*time.Second; sent++ {
-			go func(at int) { results <- cl.tryCall(3, fmt.Sprint("c", at)) }(sent)
-			time.Sleep(20 * time.Millisecond)
-		}
-		served := 0
-		for range sent {
-			if <-results == nil {
-				served++
-			}
-		}
+		served, _ := cl.offer("c", 20*time.Millisecond, 10*time.Second, 3)
 		require.Greater(t, served, 150, "of 200 that the targets take in 10 s")
 	})
 }
--- a/intake/software_test.go
+++ b/intake/software_test.go
@@ -29,6 +29,17 @@
 	}
 }
 
+// newMixedCluster returns a cluster with two engines of each of two software versions.
+func newMixedCluster(t *testing.T, entries int) *cluster {
+	t.Helper()
+	cl := newCluster(t, entries)
+	cl.put(targetTable, "lm4")
+	cl.setSoftware("v1", "lm1", "lm2")
+	cl.setSoftware("v2", "lm3", "lm4")
+	time.Sleep(time.Second)
+	return cl
+}
+
 // An item that was interrupted on an engine of one software version continued on an engine
 // of another one: after a stall, after a target left, and from a text in the store.
 func TestTextContinuesOnOtherSoftware(t *testing.T) {
@@ -64,12 +75,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				cl := newCluster(t, 3)
+				cl := newMixedCluster(t, 3)
 				defer cl.stop()
-				cl.put(targetTable, "lm4")
-				cl.setSoftware("v1", "lm1", "lm2")
-				cl.setSoftware("v2", "lm3", "lm4")
-				time.Sleep(time.Second)
 				jo := job("j1", 10)
 				require.Nil(t, cl.submit(0, jo))
 				trouble(cl)
@@ -85,12 +92,8 @@
 // anew, however often its runs are interrupted.
 func TestTextBegunAnewWhileItsSoftwareServes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		cl := newCluster(t, 1)
+		cl := newMixedCluster(t, 1)
 		defer cl.stop()
-		cl.put(targetTable, "lm4")
-		cl.setSoftware("v1", "lm1", "lm2")
-		cl.setSoftware("v2", "lm3", "lm4")
-		time.Sleep(time.Second)
 		cl.engines.mutex.Lock()
 		cl.engines.hangFirst = true
 		cl.engines.mutex.Unlock()
