--- a/calls/calls.go
+++ b/calls/calls.go
@@ -26,7 +26,7 @@
 //     complete.
 //  9. A request that crashed poison.MaxDeaths targets, as counted over all entries, is
 //     not sent to any more. Later requests with the same content are refused at once.
-//     Scoring calls are exempt: they meet crashes by bad luck only.
+//     Scoring calls are exempt: they are in flight at a crash by coincidence only.
 //  10. A target that announces in a response that it leaves gets no further request of
 //     this entry, not even one that was assigned to it and is not sent yet; that one
 //     is assigned again.
@@ -34,7 +34,7 @@
 //     right before the request is sent. Other targets are preferred. If no other target
 //     can take the request it waits for a permit, at most for its Patience; if none is
 //     expected by then, it is refused at once.
-//  12. A stream goes on only at the software version that began it, also when its caller
+//  12. A stream continues only at the software version that began it, also when its caller
 //     resumes it at another entry. If that version is not known and several served lately,
 //     the caller is refused, since no event of another version would fit.
 package calls
@@ -137,9 +137,9 @@
 	OnDeath func(lo poison.Loss)
 	// Departures holds the targets that announced that they leave; nil means none.
 	Departures *fleet.Departures
-	// Rates holds the limits that targets named; nil means none.
+	// Rates holds the limits that targets announced; nil means none.
 	Rates *quota.Limits
-	// Origins is optional; without it only streams of this entry go on.
+	// Origins is optional; without it the origin of a stream that a caller resumes is unknown.
 	Origins Origins
 }
 
--- a/calls/origin.go
+++ b/calls/origin.go
@@ -23,7 +23,7 @@
 	Find(ctx context.Context, id string) (or Origin, found bool)
 }
 
-// findOrigin determines the software version at which a stream goes on that the caller
+// findOrigin determines the software version that continues a stream which the caller
 // resumes (rule 12).
 func (st *stream) findOrigin(ctx context.Context) *core.Error {
 	fo, re := st.fo, st.re
--- a/engine/client.go
+++ b/engine/client.go
@@ -1,8 +1,8 @@
 // Package engine is the client side of the protocol of targets: health checks, orders to
 // load weights, and the parsing of response streams. Model engines use the completions
 // protocol with one addition: each chunk may name the version of the weights that
-// generated it, in the field weight_version. A target in need names in the header
-// RateLimitHeader of its responses how many requests per second it takes.
+// generated it, in the field weight_version. An overloaded target announces in the header
+// RateLimitHeader of its responses how many requests per second it accepts.
 package engine
 
 import (
@@ -53,7 +53,7 @@
 )
 
 // RateLimitHeader holds the number of requests per second, a decimal number, that a target
-// takes for as long as its responses name it.
+// accepts for as long as its responses announce it.
 const RateLimitHeader = "Bilberryshelf-Rate-Limit"
 
 const (
--- a/fake/fault.go
+++ b/fake/fault.go
@@ -24,7 +24,7 @@
 	SlowMS int `json:"slow-ms,omitempty"`
 	// LoseAnswers applies this many writes and drops their responses.
 	LoseAnswers int `json:"lose-answers,omitempty"`
-	// RateLimit is named in every response, in requests per second.
+	// RateLimit is announced in every response, in requests per second.
 	RateLimit string `json:"rate-limit,omitempty"`
 	// Down rejects every request.
 	Down bool `json:"down,omitempty"`
--- a/guard/death.go
+++ b/guard/death.go
@@ -65,7 +65,7 @@
 		gu.probe = own
 		previousStart = gu.health.StartID
 		for _, other := range gu.running {
-			if !other.sample { // owed whatever happens: poison, rule 6
+			if !other.sample { // exempt by rule 6 of poison
 				digests = append(digests, other.digest)
 			}
 		}
--- a/guard/rate.go
+++ b/guard/rate.go
@@ -13,7 +13,7 @@
 	"bilberryshelf/quota"
 )
 
-// rateLimit keeps requests within the rate that the target names. All requests to it pass
+// rateLimit keeps requests within the rate that the target announces. All requests to it pass
 // through this guard, so no other process has a part in it. It is safe for concurrent use.
 type rateLimit struct {
 	limits quota.Limits
--- a/intake/quota.go
+++ b/intake/quota.go
@@ -25,7 +25,7 @@
 	issuerPause = time.Second
 )
 
-// limitChanged records that a target names a limit, another one, or none any more.
+// limitChanged records that a target announces a limit, another one, or none any more.
 func (en *Entry) limitChanged(ta fleet.Target, was, is quota.Limit) {
 	en.meters.Gauge("target-limit", ta.ID, int64(60*is))
 	logs.Info(en.logger, "limit of a target changed", "id", ta.ID, "service", ta.Service, "addr", ta.Addr, "started", ta.StartedAt,
@@ -33,7 +33,7 @@
 }
 
 func (en *Entry) limitMalformed(ta fleet.Target, text string) {
-	logs.Warn(en.logger, "target names a limit that is no rate, ignored", "id", ta.ID, "service", ta.Service, "text", text)
+	logs.Warn(en.logger, "malformed limit of a target ignored", "id", ta.ID, "service", ta.Service, "text", text)
 }
 
 // permitTaken counts a request or item that is sent to a target with a limit.
--- a/poison/list.go
+++ b/poison/list.go
@@ -9,8 +9,8 @@
 //     the one that expires later counts, since it is newer, and cleared if both expire
 //     at the same time. If a target dies with a cleared request in progress, the
 //     request becomes a suspect again, in every list.
-//  6. Samples are exempt: a step is owed until its trainer ends it, and they meet crashes by
-//     bad luck only.
+//  6. Samples are exempt: a step is owed until its trainer ends it, and its samples are in
+//     flight at a crash by coincidence only.
 //
 // A harmless request that runs beside a crashing one is therefore never condemned, and
 // a crashing request takes down two targets: one shared with other requests, then one
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -10,15 +10,15 @@
 )
 
 // Limit is the number of requests per second that a target accepts from all entries
-// together. Zero means that it named no limit.
+// together. Zero means that it announced no limit.
 type Limit float64
 
 // minLimit is what a lower limit counts as: a request each five seconds shows whether the
 // target has room again.
 const minLimit Limit = 0.2
 
-// NewLimit returns the limit for a number that a target named. It returns ok false for a
-// number that is no rate: negative, infinite or not a number.
+// NewLimit returns the limit for a number that a target announced. It returns ok false for
+// a number that is not a rate: negative, infinite or not a number.
 func NewLimit(perSecond float64) (li Limit, ok bool) {
 	if math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
 		return 0, false
@@ -31,8 +31,8 @@
 	return time.Duration(float64(time.Second) / (float64(li) * share))
 }
 
-// ParseReading decodes the text with which a target names its limit. An empty text means
-// that it names none.
+// ParseReading decodes the text with which a target announces its limit. An empty text
+// means that it announces none.
 func ParseReading(text string) Reading {
 	if text == "" {
 		return Reading{}
@@ -47,9 +47,9 @@
 
 // Reading is what the head of a response says about its target's limit.
 type Reading struct {
-	// Limit is zero if the response names none.
+	// Limit is zero if the response announces none.
 	Limit Limit
-	// Malformed is a text that names no rate. Such a reading changes nothing.
+	// Malformed is a text that is not a rate. Such a reading changes nothing.
 	Malformed string
 }
 
@@ -57,8 +57,8 @@
 // safe for concurrent use. The zero value is ready to use; a nil *Limits has no limits.
 type Limits struct {
 	// OnChange is called when the limit of a target changes, OnMalformed the first time
-	// that an incarnation names something that is no rate, OnTake for each permit that is
-	// taken. All may be nil; set them before use.
+	// that an incarnation announces something that is not a rate, OnTake for each permit
+	// that is taken. All may be nil; set them before use.
 	OnChange    func(ta fleet.Target, was, is Limit)
 	OnMalformed func(ta fleet.Target, text string)
 	OnTake      func(ta fleet.Target)
@@ -178,7 +178,7 @@
 	return ls.changed
 }
 
-// Limit returns the limit of a target, zero if it named none.
+// Limit returns the limit of a target, zero if it announced none.
 func (ls *Limits) Limit(ta fleet.Target) Limit {
 	if ls == nil {
 		return 0
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,6 +1,6 @@
-// Package quota divides the request rate that a target accepts among all entries. A target
-// in need names in its responses how many requests per second it takes from all entries
-// together.
+// Package quota divides the request rate that a target accepts among all entries. An
+// overloaded target announces in its responses how many requests per second it accepts from
+// all entries together.
 //
 // Expected load: one entry, the owner of a job, makes most of the requests in bursts of a
 // hundred, the others a few per second each. A limit may be 1 per second with 88 entries.
@@ -23,6 +23,6 @@
 //  6. An entry learns a limit from a response, or from the issuer. The newest reading
 //     holds, where the time of a reading is when its request was sent. A response without
 //     a limit ends it, and so does another incarnation of the target.
-//  7. A limit of zero counts as minLimit, so that its end shows. What is no rate
-//     (negative, infinite, not a number) is logged and changes nothing.
+//  7. A limit of zero counts as minLimit, so that its end is noticed. A value that is not
+//     a rate (negative, infinite, not a number) is logged and changes nothing.
 package quota
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -88,7 +88,7 @@
 	Loop   *core.Loop
 	// Departures holds the targets that announced that they leave; nil means none.
 	Departures *fleet.Departures
-	// Rates holds the limits that targets named; nil means none.
+	// Rates holds the limits that targets announced; nil means none.
 	Rates *quota.Limits
 
 	ctx         context.Context
