--- a/calls/calls.go
+++ b/calls/calls.go
@@ -86,6 +86,9 @@
 	Header http.Header
 	Body   []byte
 	Route  conf.Route
+	// Workspace is the name of the workspace whose key the caller sent; empty if there is
+	// none.
+	Workspace string
 	// Deadline is the earlier of the caller's deadline and the route's time limit.
 	Deadline time.Time
 	// Patience is how long the request may wait for a target that limits its rate; zero
--- a/intake/follow.go
+++ b/intake/follow.go
@@ -47,8 +47,10 @@
 	}
 	guards := feed(order.Table, en.applyGuards, en.applyGuards)
 	guards.Throttle = guardThrottle
+	operator := feed(en.decoders.OperatorTable, en.applyOperator, en.applyOperator)
+	operator.Confirmed = en.confirmConfig
 	return []*table.Feed{
-		feed(en.decoders.OperatorTable, en.applyOperator, en.applyOperator), targets, heads, members,
+		operator, targets, heads, members,
 		guards, feed(poison.Table, en.applyLosses, en.applyLosses),
 	}
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -73,9 +73,11 @@
 	dial      func(addr string) table.Client
 	starter   func(addr string) Starter
 
-	config   atomic.Pointer[conf.Config]
-	ready    atomic.Bool
-	stopping atomic.Bool
+	config atomic.Pointer[conf.Config]
+	// configConfirmedAt is when the view of the operator's rows was last known to be complete.
+	configConfirmedAt atomic.Pointer[time.Time]
+	ready             atomic.Bool
+	stopping          atomic.Bool
 	// endsAt is the time by which requests must be answered once the entry is stopping.
 	endsAt atomic.Pointer[time.Time]
 	ctx    context.Context
