--- a/member/member.go
+++ b/member/member.go
@@ -137,6 +137,15 @@
 	return live
 }
 
+// Known returns all entries with a row, also those that are dead, in any order.
+func (vi *View) Known() []Record {
+	known := make([]Record, 0, len(vi.byNode))
+	for _, ob := range vi.byNode {
+		known = append(known, ob.record)
+	}
+	return known
+}
+
 // Regions returns the region of each failure domain that has an entry.
 func (vi *View) Regions() map[string]string {
 	regions := make(map[string]string, len(vi.byNode))
--- a/wire/wireconnect/wire.connect.go
+++ b/wire/wireconnect/wire.connect.go
@@ -34,6 +34,8 @@
 	QuotaServiceName = "bilberryshelf.wire.QuotaService"
 	// OriginServiceName is the fully-qualified name of the OriginService service.
 	OriginServiceName = "bilberryshelf.wire.OriginService"
+	// ConfigServiceName is the fully-qualified name of the ConfigService service.
+	ConfigServiceName = "bilberryshelf.wire.ConfigService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -68,6 +70,8 @@
 	// OriginServiceFindOriginProcedure is the fully-qualified name of the OriginService's FindOrigin
 	// RPC.
 	OriginServiceFindOriginProcedure = "/bilberryshelf.wire.OriginService/FindOrigin"
+	// ConfigServiceFindProcedure is the fully-qualified name of the ConfigService's Find RPC.
+	ConfigServiceFindProcedure = "/bilberryshelf.wire.ConfigService/Find"
 )
 
 // GuardServiceClient is a client for the bilberryshelf.wire.GuardService service.
@@ -675,3 +679,77 @@
 func (UnimplementedOriginServiceHandler) FindOrigin(context.Context, *wire.FindOriginRequest) (*wire.FindOriginResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bilberryshelf.wire.OriginService.FindOrigin is not implemented"))
 }
+
+// ConfigServiceClient is a client for the bilberryshelf.wire.ConfigService service.
+type ConfigServiceClient interface {
+	Find(context.Context, *wire.FindConfigRequest) (*wire.FindConfigResponse, error)
+}
+
+// NewConfigServiceClient constructs a client for the bilberryshelf.wire.ConfigService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewConfigServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) ConfigServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	configServiceMethods := wire.File_wire_wire_proto.Services().ByName("ConfigService").Methods()
+	return &configServiceClient{
+		find: connect.NewClient[wire.FindConfigRequest, wire.FindConfigResponse](
+			httpClient,
+			baseURL+ConfigServiceFindProcedure,
+			connect.WithSchema(configServiceMethods.ByName("Find")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// configServiceClient implements ConfigServiceClient.
+type configServiceClient struct {
+	find *connect.Client[wire.FindConfigRequest, wire.FindConfigResponse]
+}
+
+// Find calls bilberryshelf.wire.ConfigService.Find.
+func (c *configServiceClient) Find(ctx context.Context, req *wire.FindConfigRequest) (*wire.FindConfigResponse, error) {
+	response, err := c.find.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// ConfigServiceHandler is an implementation of the bilberryshelf.wire.ConfigService service.
+type ConfigServiceHandler interface {
+	Find(context.Context, *wire.FindConfigRequest) (*wire.FindConfigResponse, error)
+}
+
+// NewConfigServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewConfigServiceHandler(svc ConfigServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	configServiceMethods := wire.File_wire_wire_proto.Services().ByName("ConfigService").Methods()
+	configServiceFindHandler := connect.NewUnaryHandlerSimple(
+		ConfigServiceFindProcedure,
+		svc.Find,
+		connect.WithSchema(configServiceMethods.ByName("Find")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/bilberryshelf.wire.ConfigService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case ConfigServiceFindProcedure:
+			configServiceFindHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedConfigServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedConfigServiceHandler struct{}
+
+func (UnimplementedConfigServiceHandler) Find(context.Context, *wire.FindConfigRequest) (*wire.FindConfigResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("bilberryshelf.wire.ConfigService.Find is not implemented"))
+}
