intake, table, boot: configuration from peers while the store does not confirm it

Entries that the store refused for 9 s served removed routes for more than 4 s. They now ask two peers every 400 ms, from 800 ms after the store's last confirmation until its next one.

Feed.Wait sets the wait of a watch, 500 ms for the operator's rows: with the usual 1 s each entry would ask peers all the time, and rule 5 lengthens it to 8 s, for which a lost connection goes unnoticed. Feed.Confirmed is called after the rows were applied. Before, a view counted as complete while its newest rows were still being decoded.

--- a/boot/node.go
+++ b/boot/node.go
@@ -66,6 +66,9 @@
 		Origins: func(addr string) intake.OriginClient {
 			return wireconnect.NewOriginServiceClient(inner, "http://"+addr, connect.WithReadMaxBytes(wire.MaxMessageBytes))
 		},
+		Configs: func(addr string) intake.ConfigPeer {
+			return wireconnect.NewConfigServiceClient(inner, "http://"+addr, connect.WithReadMaxBytes(wire.MaxMessageBytes))
+		},
 	}, intake.Decoders{
 		OperatorTable: platform.OperatorTable, TargetTable: platform.TargetTable,
 		Config: platform.DecodeConfig, Target: platform.DecodeTarget, Version: platform.DecodeVersion,
@@ -76,6 +79,7 @@
 	mux.Handle(wireconnect.NewJobServiceHandler(en, connect.WithReadMaxBytes(wire.MaxMessageBytes)))
 	mux.Handle(wireconnect.NewQuotaServiceHandler(en, connect.WithReadMaxBytes(wire.MaxMessageBytes)))
 	mux.Handle(wireconnect.NewOriginServiceHandler(en, connect.WithReadMaxBytes(wire.MaxMessageBytes)))
+	mux.Handle(wireconnect.NewConfigServiceHandler(en.ConfigPeer(), connect.WithReadMaxBytes(wire.MaxMessageBytes)))
 	return newDaemon(en, map[string]http.Handler{
 		se.Listen.Callers: handler, se.Listen.Readiness: handler, se.Listen.Inner: mux, se.Listen.Metrics: metricsHandler(me),
 	})
--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -236,11 +236,27 @@
 	return count
 }
 
-// link is an entry's connection to the store. While it is cut, calls get no response.
+// link is an entry's connection to the store. While it is cut, calls get no response, or this
+// error at once.
 type link struct {
 	*fake.Rows
 	mutex sync.Mutex
 	cut   bool
+	err   error
+	// refused is a table whose reads are refused, empty for none.
+	refused string
+}
+
+func (li *link) refuseTable(name string) {
+	li.mutex.Lock()
+	defer li.mutex.Unlock()
+	li.refused = name
+}
+
+func (li *link) setError(err error) {
+	li.mutex.Lock()
+	defer li.mutex.Unlock()
+	li.err = err
 }
 
 func (li *link) setCut(cut bool) {
@@ -249,10 +265,16 @@
 	li.cut = cut
 }
 
-func (li *link) check(ctx context.Context) error {
+func (li *link) check(ctx context.Context, name string) error {
 	li.mutex.Lock()
-	cut := li.cut
+	cut, err, refused := li.cut, li.err, name != "" && name == li.refused
 	li.mutex.Unlock()
+	switch {
+	case err != nil:
+		return err
+	case refused:
+		return table.ErrRefused
+	}
 	if cut {
 		<-ctx.Done()
 	}
@@ -260,21 +282,21 @@
 }
 
 func (li *link) Commit(ctx context.Context, tx table.Tx) (uint64, error) {
-	if err := li.check(ctx); err != nil {
+	if err := li.check(ctx, ""); err != nil {
 		return 0, err
 	}
 	return li.Rows.Commit(ctx, tx)
 }
 
 func (li *link) List(ctx context.Context, ra table.Range) (table.Page, error) {
-	if err := li.check(ctx); err != nil {
+	if err := li.check(ctx, ra.Table); err != nil {
 		return table.Page{}, err
 	}
 	return li.Rows.List(ctx, ra)
 }
 
 func (li *link) Watch(ctx context.Context, name string, after uint64, wait time.Duration) (table.Page, error) {
-	if err := li.check(ctx); err != nil {
+	if err := li.check(ctx, name); err != nil {
 		return table.Page{}, err
 	}
 	return li.Rows.Watch(ctx, name, after, wait)
@@ -296,6 +318,10 @@
 	limits sync.Map
 	// software maps a target to the version of its software, as the registry lists it.
 	software sync.Map
+	// noRelay is set if calls to the store through peers fail.
+	noRelay atomic.Bool
+	// silent holds the nodes that do not answer questions about the configuration.
+	silent sync.Map
 }
 
 var route = conf.Route{
@@ -303,14 +329,14 @@
 	Deadline: 7500 * time.Millisecond, ItemTTL: 40 * time.Second, Attempts: 3,
 }
 
-func config() *conf.Config {
-	return conf.New(1, []conf.Route{route, {
+func config(version uint64) *conf.Config {
+	return conf.New(version, []conf.Route{route, {
 		Name: "score", Host: "h", Prefix: "/score/", Kind: conf.Idempotent, Shares: []conf.Share{{Service: "desk", Weight: 1}},
 		TargetLatency: 300 * time.Millisecond, Attempts: 4,
 	}, {
 		Name: "chat", Host: "h", Prefix: "/chat/", Kind: conf.Stream, Resumable: true, Shares: []conf.Share{{Service: "desk", Weight: 1}},
 		TargetLatency: 300 * time.Millisecond, Attempts: 3,
-	}}, nil, conf.Limits{})
+	}, {Name: "version", Host: versionHost(version), Prefix: "/"}}, nil, conf.Limits{})
 }
 
 // decoders returns decoders that derive the content of a row from its key.
@@ -321,7 +347,8 @@
 			if ro.ID.Key != "config" {
 				return nil, nil
 			}
-			return config(), nil
+			version, _ := strconv.ParseUint(string(ro.Value), 10, 64)
+			return config(max(version, 1)), nil
 		},
 		Version: func(table.Row) (string, uint64, bool, error) { return "", 0, false, nil },
 		Target: func(ro table.Row) (fleet.Target, error) {
@@ -476,7 +503,7 @@
 	an := &announcer{engines: cl.engines, sender: cl.sender, departures: &fleet.Departures{}, rates: &quota.Limits{}, limits: &cl.limits, started: map[string][]time.Time{}}
 	en := intake.New(
 		intake.Settings{Node: "n" + strconv.Itoa(node), Domain: "d", Inner: "n" + strconv.Itoa(node), Grace: 8 * time.Second},
-		intake.Ports{Direct: li, Sender: an, Engine: an, Departures: an.departures, Rates: an.rates, Issuer: cl.issuer, Origins: cl.origins, Streamer: an, Dial: func(string) table.Client { return cl.rows }, Starter: cl.starter},
+		intake.Ports{Direct: li, Sender: an, Engine: an, Departures: an.departures, Rates: an.rates, Issuer: cl.issuer, Origins: cl.origins, Streamer: an, Dial: cl.dial, Configs: cl.configs, Starter: cl.starter},
 		cl.decoders(), core.SystemClock{}, log.NewNopLogger(), &meter.Set{},
 	)
 	ended := make(chan struct{})
--- a/intake/follow.go
+++ b/intake/follow.go
@@ -48,7 +48,7 @@
 	guards := feed(order.Table, en.applyGuards, en.applyGuards)
 	guards.Throttle = guardThrottle
 	operator := feed(en.decoders.OperatorTable, en.applyOperator, en.applyOperator)
-	operator.Confirmed = en.confirmConfig
+	operator.Confirmed, operator.Wait = en.confirmConfig, configWait
 	return []*table.Feed{
 		operator, targets, heads, members,
 		guards, feed(poison.Table, en.applyLosses, en.applyLosses),
@@ -71,10 +71,12 @@
 	}
 }
 
-// applyOperator applies rows written by the operator. A configuration replaces the
-// current one only if its version is higher.
+// applyOperator applies rows written by the operator, from the store or from a peer. A row
+// replaces the one held, and a configuration the current one, only if its version is higher.
 func (en *Entry) applyOperator(rows []table.Row) {
-	for _, ro := range rows {
+	en.operator.applying.Lock()
+	defer en.operator.applying.Unlock()
+	for _, ro := range en.operator.put(rows) {
 		if model, version, ok, err := en.decoders.Version(ro); err != nil {
 			logs.Error(en.logger, "cannot decode the announced version", "row", ro.Version, "err", err)
 		} else if ok {
@@ -89,6 +91,7 @@
 		if next := conf.Newer(have, co); next != have {
 			en.config.Store(next)
 			en.owner.SetServices(next.Services())
+			en.meters.Gauge("config-version", "", int64(next.Version))
 			logs.Info(en.logger, "configuration adopted", "version", next.Version, "routes", next.Routes(), "row", ro.Version)
 		}
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -73,11 +73,10 @@
 	dial      func(addr string) table.Client
 	starter   func(addr string) Starter
 
-	config atomic.Pointer[conf.Config]
-	// configConfirmedAt is when the view of the operator's rows was last known to be complete.
-	configConfirmedAt atomic.Pointer[time.Time]
-	ready             atomic.Bool
-	stopping          atomic.Bool
+	config   atomic.Pointer[conf.Config]
+	operator operatorView
+	ready    atomic.Bool
+	stopping atomic.Bool
 	// endsAt is the time by which requests must be answered once the entry is stopping.
 	endsAt atomic.Pointer[time.Time]
 	ctx    context.Context
@@ -91,6 +90,7 @@
 	issuer       func(addr string) Issuer
 	origins      origins
 	originClient func(addr string) OriginClient
+	configPeer   func(addr string) ConfigPeer
 	// publishing is held while the targets are published, so that an older list never
 	// replaces a newer one.
 	publishing sync.Mutex
@@ -136,6 +136,9 @@
 	Issuer func(addr string) Issuer
 	// Origins returns a client for the origins of streams at the peer at an inner address.
 	Origins func(addr string) OriginClient
+	// Configs returns a client that asks the peer at an inner address for the operator's
+	// rows; nil means that no peer is asked.
+	Configs func(addr string) ConfigPeer
 }
 
 // Starter hands a job over to another entry.
@@ -163,6 +166,7 @@
 	}
 	en.rates.OnChange, en.rates.OnMalformed, en.rates.OnTake = en.limitChanged, en.limitMalformed, en.permitTaken
 	en.bodyMemory.Max = se.MaxBodyBytes
+	en.configPeer, en.operator.view.Since = po.Configs, clock.Now()
 	en.ctx, en.stop = context.WithCancel(context.Background())
 	en.store = &relay.Store{Direct: po.Direct, Peers: en.peers, Clock: clock, Logger: lg}
 	en.ledger = batch.Ledger{Store: en.store}
@@ -190,6 +194,7 @@
 	group.Go(func() { en.sweep(ctx) })
 	group.Go(func() { en.shareLosses(ctx) })
 	group.Go(func() { en.askForPermits(ctx) })
+	group.Go(func() { en.askForConfig(ctx) })
 	for _, fe := range en.feeds() {
 		group.Go(func() { fe.Run(ctx) })
 	}
--- a/table/feed.go
+++ b/table/feed.go
@@ -46,8 +46,12 @@
 	// Lost and Recovered may be nil.
 	Lost      func()
 	Recovered func()
-	// Confirmed is called each time the rows are known to be complete. It may be nil.
+	// Confirmed is called each time the rows are known to be complete, after the callbacks
+	// above have applied them. It may be nil.
 	Confirmed func(at time.Time)
+	// Wait is how long one watch waits for a change; rule 5 does not lengthen it. Zero means
+	// watchWait, which rule 5 lengthens.
+	Wait time.Duration
 	// Throttle is the pause after a change, which bounds the calls that a busy table
 	// costs; zero means none.
 	Throttle time.Duration
@@ -116,7 +120,10 @@
 		return fe.list(ctx)
 	}
 	fe.easeOff()
-	wait := fe.slowed(watchWait)
+	wait := fe.Wait
+	if wait == 0 {
+		wait = fe.slowed(watchWait)
+	}
 	timeout := wait + watchSlack
 	switch {
 	case fe.probing():
@@ -130,10 +137,13 @@
 	if err != nil {
 		return err
 	}
+	at := fe.Clock.Now()
 	fe.version = max(page.Version, fe.version)
-	fe.confirm()
 	if len(page.Rows) > 0 {
 		fe.Change(page.Rows)
+	}
+	fe.confirm(at)
+	if len(page.Rows) > 0 {
 		sleep(ctx, fe.Clock, fe.pause())
 	}
 	return nil
@@ -189,15 +199,16 @@
 		}
 		all.Rows = append(all.Rows, page.Rows...)
 	}
+	at := fe.Clock.Now()
 	fe.version, fe.listed = all.Version, true
-	fe.confirm()
 	fe.Reset(all.Rows)
+	fe.confirm(at)
 	return nil
 }
 
-func (fe *Feed) confirm() {
+func (fe *Feed) confirm(at time.Time) {
 	if fe.Confirmed != nil {
-		fe.Confirmed(fe.Clock.Now())
+		fe.Confirmed(at)
 	}
 }
 
