conf: workspaces with API keys, public routes

The lookup is a map in the immutable configuration, built once per configuration; an unknown key costs one lookup.

--- a/conf/conf.go
+++ b/conf/conf.go
@@ -59,6 +59,8 @@
 	Resumable bool
 	// SingleVersion requires that one version of the weights generates a whole sample.
 	SingleVersion bool
+	// Public routes need no key.
+	Public bool
 }
 
 // Pick draws a service of the route by weight; draw returns a random number below
@@ -107,6 +109,8 @@
 	Limits   Limits
 	routes   map[string][]Route
 	services map[string]Service
+	// workspaces holds the workspaces by name, workspaceByKey by each of their keys.
+	workspaces, workspaceByKey map[string]Workspace
 }
 
 // New returns a configuration with the given content.
