batch: the workspace of a job, in its body and its head

Reading and ending a job needs its workspace without a read of the body, so the head has it too. Both CBOR fields are absent when empty. Accept writes the first rows of a large body only while the head is absent: another workspace that submits the id of a job that its entry does not know yet would overwrite the body otherwise.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -68,6 +68,8 @@
 	// RequiredGroups is the number of complete groups that the trainer waits for.
 	RequiredGroups int    `cbor:"7,keyasint"`
 	Items          []Item `cbor:"8,keyasint"`
+	// Workspace is the name of the workspace that submitted the job; empty if there was none.
+	Workspace string `cbor:"9,keyasint,omitempty"`
 }
 
 // Validate returns an error if an id or a path is missing, too long or not unique.
@@ -128,6 +130,8 @@
 	WriteID uint64 `cbor:"7,keyasint"`
 	// Route is the name of the job's route.
 	Route string `cbor:"10,keyasint"`
+	// Workspace is that of the job. Jobs of earlier releases have none.
+	Workspace string `cbor:"11,keyasint,omitempty"`
 }
 
 // Open reports whether results of the job may still be listed.
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -93,7 +93,13 @@
 		if at == len(groups)-1 {
 			break
 		}
-		if err := le.write(ctx, table.Tx{Puts: puts}); err != nil {
+		// A job that exists may be another workspace's: its body must not be overwritten.
+		absent := []table.Expect{{ID: HeadID(jo.ID)}}
+		err := le.write(ctx, table.Tx{Expect: absent, Puts: puts})
+		if errors.Is(err, table.ErrConflict) {
+			return le.superseded(ctx, jo.ID)
+		}
+		if err != nil {
 			return VersionedHead{}, err // the job doesn't exist before its head is written
 		}
 	}
@@ -101,6 +107,15 @@
 	return le.updateHead(ctx, jo.ID, VersionedHead{}, he, groups[len(groups)-1])
 }
 
+// superseded returns ErrSuperseded with the head of a job that was accepted before.
+func (le Ledger) superseded(ctx context.Context, job string) (VersionedHead, error) {
+	vh, err := le.Find(ctx, job)
+	if err != nil {
+		return vh, errors.Mark(errors.Wrap(err, "read the head of a job"), table.ErrRefused)
+	}
+	return vh, errors.Mark(errors.Newf("job %s exists at version %d", job, vh.Version), ErrSuperseded)
+}
+
 // Adopt makes an entry the owner of a job. It fails if the head is no longer the
 // given one.
 func (le Ledger) Adopt(ctx context.Context, job string, vh VersionedHead, owner string) (VersionedHead, error) {
