platform, intake: API keys, the tenant header, jobs by workspace

The key is read from Api-Key and dropped there and from the headers of items, since jobs are stored and sent to other entries. Requests to targets carry Bilberryshelf-Tenant with the workspace, set where the request is built (plain requests, streams, items), whatever the caller sent. Submitting again, results, bodies and ends are checked by the job's head; a key of another workspace gets 404, an unknown key 401. Both 401 and the 404 of an unknown route are 503 while the view of the configuration is older than MaxViewAge. A workspace's priority replaces the route's, also at the entry to which a job is handed over or which adopts it.

TestJobOfWorkspace looks for the keys in all log lines of its run. The fake service of handler_test.go has the two new methods; the fake cluster of intake logs to a buffer and can replace its configuration. No check was changed.

--- a/intake/adopt.go
+++ b/intake/adopt.go
@@ -89,7 +89,7 @@
 		return
 	}
 	logs.Info(en.logger, "job adopted", "id", job, "owner", previous, "epoch", vh.Head.Epoch, "listed", len(listed))
-	en.owner.Start(body, vh, route, listed)
+	en.owner.Start(body, vh, en.workspaceRoute(route, body.Workspace), listed)
 }
 
 // loadJob reads a job and the ids of its listed items.
--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -1,6 +1,7 @@
 package intake_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -56,6 +57,8 @@
 	// the versions that generated the events from the last beginning on.
 	software *sync.Map
 	origins  map[string]map[string]bool
+	// workspaces maps an item to the workspace of its last run.
+	workspaces sync.Map
 }
 
 // length returns the number of events of an item; about one in seven is long.
@@ -83,6 +86,7 @@
 	id := rq.Item.ID
 	en.mutex.Lock()
 	en.runs[id]++
+	en.workspaces.Store(id, rq.Job.Workspace)
 	en.running[id]++
 	if en.running[id] > 1 {
 		en.concurrent++
@@ -296,6 +300,10 @@
 	limits sync.Map
 	// software maps a target to the version of its software, as the registry lists it.
 	software sync.Map
+	// config replaces the configuration, logs is what the entries log.
+	config atomic.Pointer[conf.Config]
+	logs   bytes.Buffer
+	logger log.Logger
 }
 
 var route = conf.Route{
@@ -321,6 +329,9 @@
 			if ro.ID.Key != "config" {
 				return nil, nil
 			}
+			if co := cl.config.Load(); co != nil {
+				return co, nil
+			}
 			return config(), nil
 		},
 		Version: func(table.Row) (string, uint64, bool, error) { return "", 0, false, nil },
@@ -344,6 +355,7 @@
 		engines: &engines{version: 1, runs: map[string]int{}, running: map[string]int{}, fail: map[string]runs.Ending{}, stalled: map[string]bool{}, generated: map[string]int{}},
 	}
 	cl.engines.software, cl.engines.origins = &cl.software, map[string]map[string]bool{}
+	cl.logger = log.NewLogfmtLogger(log.NewSyncWriter(&cl.logs))
 	cl.put(operatorTable, "config")
 	for _, id := range []string{"lm1", "lm2", "lm3", "desk1", "desk2"} {
 		cl.put(targetTable, id)
@@ -477,7 +489,7 @@
 	en := intake.New(
 		intake.Settings{Node: "n" + strconv.Itoa(node), Domain: "d", Inner: "n" + strconv.Itoa(node), Grace: 8 * time.Second},
 		intake.Ports{Direct: li, Sender: an, Engine: an, Departures: an.departures, Rates: an.rates, Issuer: cl.issuer, Origins: cl.origins, Streamer: an, Dial: func(string) table.Client { return cl.rows }, Starter: cl.starter},
-		cl.decoders(), core.SystemClock{}, log.NewNopLogger(), &meter.Set{},
+		cl.decoders(), core.SystemClock{}, cl.logger, &meter.Set{},
 	)
 	ended := make(chan struct{})
 	go func() {
--- a/intake/handover.go
+++ b/intake/handover.go
@@ -69,6 +69,6 @@
 	}
 	vh := batch.VersionedHead{Head: he, Version: req.GetVersion()}
 	en.index.Put(jo.ID, vh)
-	en.owner.Start(jo, vh, route, nil)
+	en.owner.Start(jo, vh, en.workspaceRoute(route, jo.Workspace), nil)
 	return &wire.StartResponse{}, nil
 }
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -35,7 +35,7 @@
 	}
 	route, found := co.Find(host, path)
 	if !found {
-		return conf.Route{}, conf.Limits{}, core.Refuse(core.CodeUnknownService, "no route for %s%s in configuration %d", host, path, co.Version)
+		return conf.Route{}, conf.Limits{}, en.ifFresh(co, core.Refuse(core.CodeUnknownService, "no route for %s%s in configuration %d", host, path, co.Version))
 	}
 	return route, co.Limits, nil
 }
@@ -56,8 +56,8 @@
 // job again changes nothing. If it is unknown whether the write took effect, the
 // verdict of the error is core.MayHaveRun.
 func (en *Entry) Submit(ctx context.Context, jo *batch.Job, route conf.Route) *core.Error {
-	if _, known := en.index.Get(jo.ID); known {
-		return nil
+	if vh, known := en.index.Get(jo.ID); known {
+		return en.checkResubmit(jo, vh.Head)
 	}
 	if en.stopping.Load() {
 		return core.Refuse(core.CodeDraining, "this entry is stopping").WithRetryAfter(sweepInterval)
@@ -68,6 +68,7 @@
 	owner := en.routeOwner(route.Name)
 	he := batch.Head{
 		Epoch: 1, Owner: owner.Name, Total: len(jo.Items), Submitted: en.clock.Now().UnixMilli(), Route: route.Name,
+		Workspace: jo.Workspace,
 	}
 	vh, err := en.ledger.Accept(ctx, jo, he)
 	logs.Info(en.logger, "job submitted", "id", jo.ID, "route", route.Name, "step", jo.Step, "items", len(jo.Items),
@@ -79,7 +80,7 @@
 		return nil
 	case errors.Is(err, batch.ErrSuperseded) && vh.Version > 0:
 		en.index.Put(jo.ID, vh)
-		return nil // accepted before
+		return en.checkResubmit(jo, vh.Head) // accepted before
 	case errors.Is(err, table.ErrRefused):
 		return core.Refuse(core.CodePlatformDown, "cannot store the job: %v", err).WithRetryAfter(storeRetryAfter)
 	default:
@@ -107,7 +108,7 @@
 		return vh, core.Refuse(core.CodePlatformDown, "cannot read the job: %v", err).WithRetryAfter(storeRetryAfter)
 	}
 	if vh.Version == 0 {
-		return vh, core.Refuse(core.CodeUnknownJob, "job %s does not exist", job)
+		return vh, unknownJob(job)
 	}
 	en.index.Put(job, vh)
 	return vh, nil
