limit, calls: fair share of workspaces while capacity is short

A workspace that fills a service left nothing to the others. While plain requests are not served because all targets asked are full, a workspace above its share is refused when less than a tenth of the capacity is free. Above that reserve it may use what the others leave. One full target among others is no shortage. Requests without a workspace are not affected.

--- a/calls/calls.go
+++ b/calls/calls.go
@@ -37,6 +37,8 @@
 //  12. A stream continues only at the software version that began it, also when its caller
 //     resumes it at another entry. If that version is not known and several served lately,
 //     the caller is refused, since no event of another version would fit.
+//  13. While plain requests are not served because all targets asked are full, a workspace
+//     with more requests in flight than its share is refused at once (limit.FairShare).
 package calls
 
 import (
@@ -144,6 +146,8 @@
 	Rates *quota.Limits
 	// Origins is optional; without it the origin of a stream that a caller resumes is unknown.
 	Origins Origins
+
+	shares shares
 }
 
 // outcome is the result of one attempt.
@@ -191,7 +195,7 @@
 	defer cancel()
 	at := newAttempts(fo, re)
 	at.results = make(chan outcome, fo.maxAttempts(re)+MaxRefusals)
-	res, err := at.run(ctx)
+	res, err := at.runInShare(func() (Response, *core.Error) { return at.run(ctx) })
 	now := fo.Clock.Now()
 	more := []any{"status", res.Status}
 	if err != nil {
