runs: each workspace continues only its own partial texts

The texts of an ended job are saved under the name of the route for the next job's items of the same id. With workspaces that next job may be another customer's, which would get a text of the first one. The part has the workspace's name now, if the job has one. TestPartialTextsOfWorkspaces fails with the route's name alone: a text is reused.

--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -239,7 +239,7 @@
 }
 
 // SavePartials saves partial texts for another owner (part is the job's id) or for
-// a later job (part is the route), and deletes the rows that held them before. It
+// a later job (part is the route, with the workspace if the job has one), and deletes the rows that held them before. It
 // returns the rows of each text by item id.
 func (le Ledger) SavePartials(ctx context.Context, part string, partials []Partial) (map[string][]table.ID, error) {
 	rowIDs := map[string][]table.ID{}
--- a/intake/access_test.go
+++ b/intake/access_test.go
@@ -1,6 +1,7 @@
 package intake_test
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -135,3 +136,43 @@
 		require.Equal(t, 404, cl.serve(0, "GET", "/new/r1", "secret-new"))
 	})
 }
+
+// A text of another workspace is not continued, although the items have the same ids.
+func TestPartialTextsOfWorkspaces(t *testing.T) {
+	for _, tc := range []struct {
+		workspace string
+		reused    bool
+	}{{"red", true}, {"blue", false}} {
+		synctest.Test(t, func(t *testing.T) {
+			cl := newCluster(t, 2)
+			defer cl.stop()
+			first := job("j1", 12)
+			first.Workspace = "red"
+			require.Nil(t, cl.submit(0, first))
+			time.Sleep(1500 * time.Millisecond)
+			require.Nil(t, cl.entries[0].EndJob(context.Background(), "j1"))
+			time.Sleep(time.Second)
+			second := job("j2", 0)
+			second.Workspace = tc.workspace
+			for _, it := range first.Items {
+				if length(it.ID) > 30 {
+					second.Items = append(second.Items, it)
+				}
+			}
+			before := map[string]int{}
+			for _, it := range second.Items {
+				before[it.ID] = cl.engines.generated[it.ID]
+			}
+			require.Nil(t, cl.submit(1, second))
+			time.Sleep(6 * time.Second)
+			cl.requireComplete(0, second)
+			reused := 0
+			for _, it := range second.Items {
+				if cl.engines.generated[it.ID]-before[it.ID] < length(it.ID) {
+					reused++
+				}
+			}
+			require.Equal(t, tc.reused, reused > 0)
+		})
+	}
+}
--- a/runs/job.go
+++ b/runs/job.go
@@ -74,6 +74,15 @@
 	return jo
 }
 
+// partialsPart returns the part that holds the partial texts for later jobs of the route. Each
+// workspace has its own: item ids are unique within a workspace only.
+func (jo *job) partialsPart() string {
+	if jo.body.Workspace == "" {
+		return jo.route.Name
+	}
+	return jo.route.Name + "/" + jo.body.Workspace
+}
+
 // stepMargin is the time that a step takes besides its longest run: scoring, listing, and
 // the trainer's look.
 const stepMargin = 700 * time.Millisecond
--- a/runs/lifecycle.go
+++ b/runs/lifecycle.go
@@ -48,7 +48,7 @@
 // owner saved. The items run in the meantime. An item whose text is shorter than
 // the saved one continues from the latter.
 func (ow *Owner) loadPartials(jo *job) {
-	jo.reuse(ow.routePartials[jo.route.Name], ow.continuable(jo))
+	jo.reuse(ow.routePartials[jo.partialsPart()], ow.continuable(jo))
 	ow.resumeItems(jo)
 	wanted := map[string]bool{}
 	for _, it := range jo.items {
@@ -57,7 +57,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ow.ctx, partialsTimeout)
 		defer cancel()
-		for _, from := range []string{jo.route.Name, jo.body.ID} {
+		for _, from := range []string{jo.partialsPart(), jo.body.ID} {
 			stored, err := ow.Ledger.Partials(ctx, from, jo.body.Step, func(id string) bool { return wanted[id] })
 			if err != nil {
 				logs.Warn(ow.Logger, "partial texts not read, items start from the beginning", "id", jo.body.ID, "from", from, "err", err)
@@ -165,9 +165,9 @@
 		partials[at].Rows = nil // these rows belong to the job, the new ones to the route
 		byID[partials[at].ID] = partials[at]
 	}
-	ow.routePartials[jo.route.Name] = byID
+	ow.routePartials[jo.partialsPart()] = byID
 	go func() {
-		_, err := ow.Ledger.SavePartials(ow.ctx, jo.route.Name, partials)
+		_, err := ow.Ledger.SavePartials(ow.ctx, jo.partialsPart(), partials)
 		if err == nil {
 			err = ow.Ledger.DeleteRows(ow.ctx, jo.obsoleteRows)
 		}
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -105,8 +105,8 @@
 	memory map[string]int
 	// longestText maps a route to the number of events of its longest complete text.
 	longestText map[string]int
-	// routePartials maps a route to the partial texts of its last ended or complete
-	// job, by item id.
+	// routePartials maps a route, or a workspace's part of it, to the partial texts of its last
+	// ended or complete job, by item id.
 	routePartials map[string]map[string]batch.Partial
 }
 
