place, runs, platform: slow periods of shared hosts are no reason to move

Cause: parseLoad ignored a load header of four values, and an engine on a shared host counted as slow in each of its slow periods of about 600 ms, so that its runs moved.

Change: the fourth value is decoded into calls.Response.Slowdown and runs.Event.Slowdown.

--- a/calls/calls.go
+++ b/calls/calls.go
@@ -114,6 +114,9 @@
 	// Running, Waiting and Slots are the load that the target reported, in requests;
 	// Slots is zero if it reported none.
 	Running, Waiting, Slots int
+	// Slowdown is how long work takes at the target at this moment, 100 meaning as usual;
+	// zero if the target does not report it.
+	Slowdown int
 }
 
 // Sender sends a request to a target. Its errors carry a verdict; a *core.Error with
--- a/place/move.go
+++ b/place/move.go
@@ -52,13 +52,13 @@
 	if !sn.slow(en) {
 		return false
 	}
-	here, elsewhere := time.Duration(ru.RemainingEvents)*en.Pace, time.Duration(ru.RemainingEvents)*sn.median
+	here, elsewhere := time.Duration(ru.RemainingEvents)*en.pace(), time.Duration(ru.RemainingEvents)*sn.median
 	return here-elsewhere >= MinMoveGain && here > ru.Slack/estimateError
 }
 
 // delaysLoad reports whether a run would not end within what is left of EmptyPatience.
 func (sn *Snapshot) delaysLoad(en Engine, ru Run) bool {
-	return time.Duration(ru.RemainingEvents)*max(en.Pace, sn.median) > EmptyPatience-en.EmptyingFor
+	return time.Duration(ru.RemainingEvents)*max(en.pace(), sn.median) > EmptyPatience-en.EmptyingFor
 }
 
 // MoveReason returns why a run should move to another engine, or an empty Reason
@@ -69,6 +69,9 @@
 		timeout = StallTimeout
 	}
 	at := sn.position(ru.Engine)
+	if at >= 0 {
+		timeout = sn.engines[at].scaleTimeout(timeout)
+	}
 	switch {
 	case ru.SinceLastEvent > timeout:
 		return Stalled
--- a/place/place.go
+++ b/place/place.go
@@ -46,6 +46,10 @@
 //     text generated so far is kept. The run is queued by rule 1 and continues on
 //     its engine until the item is assigned to another one, at most until it has
 //     produced no event for AbandonTimeout.
+//     On a shared host, slow periods of some hundred ms are usual and no reason to move.
+//     The pace of such an engine, in all rules, is its mean over SharedPaceWindow; a run
+//     leaves it as slow only for an engine on which it ends earlier by MinMoveGain and the
+//     cost of the move. Its timeouts are longer by the slowdown that is usual there.
 //  8. Engines that serve another model are used only if no engine of the item's
 //     own model can serve it: the owners of that model's jobs plan with their
 //     slots and empty them for loads.
@@ -111,6 +115,11 @@
 	Pace time.Duration
 	// PaceStale is set if the last measurement is not recent.
 	PaceStale bool
+	// SharedHost is set if the engine shares its host with others, which makes it slow for
+	// some hundred ms at a time. LongPace is then its mean pace over SharedPaceWindow; zero
+	// if it was never measured.
+	SharedHost bool
+	LongPace   time.Duration
 	// BackingOff is set for a while after a refusal or a failure.
 	BackingOff bool
 	// Probing is set if the engine refused the last item. NotStarted counts its
--- a/place/snapshot.go
+++ b/place/snapshot.go
@@ -44,8 +44,8 @@
 func sortedPaces(engines []Engine) []time.Duration {
 	var paces []time.Duration
 	for _, en := range engines {
-		if en.Pace > 0 {
-			paces = append(paces, en.Pace)
+		if en.pace() > 0 {
+			paces = append(paces, en.pace())
 		}
 	}
 	slices.Sort(paces)
@@ -54,7 +54,7 @@
 
 // slow reports whether an engine is slow (rule 3).
 func (sn *Snapshot) slow(en Engine) bool {
-	return sn.median > 0 && float64(en.Pace) > SlowFactor*float64(sn.median)
+	return sn.median > 0 && float64(en.pace()) > SlowFactor*float64(sn.median)
 }
 
 // Choose returns the position of the engine for an item, or -1 if the item has to
@@ -160,7 +160,7 @@
 
 // eligible reports whether a fast engine has a free slot for an item.
 func (sn *Snapshot) eligible(en Engine, it Item, fi filter) bool {
-	return fi.canRun(en, it) && en.freeSlots() > 0 && !sn.slow(en) && en.ID != it.Avoid
+	return fi.canRun(en, it) && en.freeSlots() > 0 && !sn.slow(en) && en.ID != it.Avoid && sn.endsEarlier(it, en)
 }
 
 // minLoad returns the lowest load among the eligible engines.
@@ -180,7 +180,7 @@
 // quick reports whether an engine is about as fast as the faster ones, or its pace is not
 // known.
 func (sn *Snapshot) quick(en Engine) bool {
-	return float64(en.Pace) <= QuickFactor*float64(sn.quickest)
+	return float64(en.pace()) <= QuickFactor*float64(sn.quickest)
 }
 
 // preferred reports whether the engine lhs is preferred to rhs; both are eligible
@@ -232,7 +232,7 @@
 		if !sn.slow(en) && en.ID != it.Avoid {
 			return -1 // the item waits for this engine, which is full
 		}
-		if en.freeSlots() > 0 && (best < 0 || en.Pace < sn.engines[best].Pace) {
+		if en.freeSlots() > 0 && (best < 0 || en.pace() < sn.engines[best].pace()) {
 			best = at
 		}
 	}
--- a/runs/engine.go
+++ b/runs/engine.go
@@ -17,10 +17,14 @@
 	runs    map[*run]bool
 	// versions maps a model to the newest version seen in events, which may be newer
 	// than that in the registry.
-	versions      map[string]uint64
-	groups        map[string]int
-	pace          time.Duration
-	paceAt        time.Time
+	versions map[string]uint64
+	groups   map[string]int
+	pace     time.Duration
+	paceAt   time.Time
+	// longPace is measured only on a shared host, that is once a response has reported a
+	// slowdown.
+	sharedHost    bool
+	longPace      longPace
 	backoffUntil  time.Time
 	interruptions int
 	// refusals counts consecutive refusals, interruptions consecutive interruptions.
@@ -44,10 +48,15 @@
 		ID: en.target.ID, Software: en.target.Software, Distance: en.target.Distance, Slots: en.target.Slots, Running: en.running,
 		Version: en.version(model), Pace: en.pace, PaceStale: now.Sub(en.paceAt) > maxPaceAge, BackingOff: now.Before(en.backoffUntil), Groups: en.groups,
 		Probing: en.refusals > 0, Emptying: !en.emptiedAt.IsZero(), Skipped: now.Before(en.skipUntil),
+		SharedHost: en.sharedHost, LongPace: en.longPace.mean(),
 	}
 	if vi.Emptying {
 		vi.EmptyingFor = now.Sub(en.emptiedAt)
 	}
+	pace := en.pace
+	if vi.SharedHost {
+		pace = vi.LongPace
+	}
 	prompts := map[string]bool{}
 	for ru := range en.runs {
 		it, events := ru.item, ru.eventCount()
@@ -62,7 +71,7 @@
 		remaining := it.remainingAfter(generated)
 		vi.Load += it.load(events)
 		vi.Held += (generated + remaining) * tokensPerEvent
-		vi.BusyFor = max(vi.BusyFor, time.Duration(remaining)*en.pace)
+		vi.BusyFor = max(vi.BusyFor, time.Duration(remaining)*pace)
 	}
 	return vi
 }
@@ -132,6 +141,8 @@
 	startedAt  time.Time
 	// software is the version of the engine's software.
 	software string
+	// sample is what the long-run pace of the engine has counted of this run.
+	sample paceSample
 
 	mutex  sync.Mutex
 	events []Event
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -24,6 +24,9 @@
 	Data string
 	// Version is the version of the weights that generated the event.
 	Version uint64
+	// Slowdown is how long work took at the target when the stream began, 100 meaning as
+	// usual; zero if the target does not report it.
+	Slowdown int
 }
 
 // Request asks an engine to run an item.
--- a/runs/step.go
+++ b/runs/step.go
@@ -28,6 +28,10 @@
 			if pace := ru.pace(now); pace > 0 {
 				sum, count = sum+pace, count+1
 			}
+			en.sharedHost = en.sharedHost || ru.slowdown() > 0
+		}
+		if en.sharedHost {
+			en.updateLongPace(now)
 		}
 		if count > 0 {
 			en.pace, en.paceAt = sum/time.Duration(count), now
@@ -155,7 +159,7 @@
 	ru.cancel()
 	ow.Meters.Count("runs-moved", string(wi.MoveReason), 1)
 	logs.Info(ow.Logger, "run moved", "job", jo.body.ID, "id", it.item.ID, "engine", wi.Avoid, "why", wi.MoveReason,
-		"silent", now.Sub(last), "pace", ru.engine.pace, "events", it.eventCount())
+		"silent", now.Sub(last), "pace", ru.engine.pace, "long-pace", ru.engine.longPace.mean(), "events", it.eventCount())
 }
 
 // startRun starts an item on an engine.
