calls: the balancer weighs load by how slow a shared host is now

Cause: targets on shared hosts are 2.5 times slower for some 600 ms at a time; the load alone, and a mean latency that follows after many responses, send calls to them.

Change: where targets report slowdowns, the one of two random candidates with the smaller (load + 1) x expected latency gets the request; the expected latency is the mean, times the newest slowdown (100 after 600 ms), divided by the mean slowdown at which it was measured. The class of such a target is by load and slowdown, and a high mean latency alone does not degrade it.

--- a/calls/balancer.go
+++ b/calls/balancer.go
@@ -45,7 +45,8 @@
 	backoffUntil     time.Time
 	latency          time.Duration
 	// lastUsed is the time of the last successful response.
-	lastUsed time.Time
+	lastUsed  time.Time
+	slowdowns slowdowns
 }
 
 // Balancer chooses among the targets of a service by distance, load, latency and
@@ -120,7 +121,7 @@
 	}
 	for _, from := range classes {
 		if len(from) > 0 {
-			return ba.lessLoaded(from[intN(len(from))], from[intN(len(from))]), limited, true
+			return ba.better(now, from[intN(len(from))], from[intN(len(from))]), limited, true
 		}
 	}
 	return fleet.Target{}, limited, false
@@ -137,8 +138,8 @@
 )
 
 func (ba *Balancer) class(now time.Time, ta fleet.Target, mean time.Duration) int {
-	ts, load := ba.stats[ta.ID], ba.load(ta)
-	slow := mean > 0 && float64(ts.latency) > slowRatio*float64(mean)
+	ts, load := ba.stats[ta.ID], ba.slowedLoad(now, ta)
+	slow := mean > 0 && !ts.slowdowns.known() && float64(ts.latency) > slowRatio*float64(mean)
 	switch {
 	case slow || now.Before(ts.backoffUntil):
 		return degraded
@@ -210,6 +211,9 @@
 	case ou.err == nil:
 		ts.failures, ts.lastUsed = 0, now
 		ts.latency += time.Duration(latencyWeight * float64(ou.took-ts.latency))
+		if ou.response.Slowdown > 0 {
+			ts.slowdowns = ts.slowdowns.add(now, ou.took, ou.response.Slowdown)
+		}
 		if ou.response.Slots > 0 {
 			ts.reported, ts.inFlightAtReport = ou.response.Running+ou.response.Waiting, then // the reported load still includes the answered request
 		}
--- a/calls/calls.go
+++ b/calls/calls.go
@@ -8,6 +8,10 @@
 //     in backoff. Preferred are targets of the entry's region with an idle connection
 //     and low load, then targets of its failure domain, then of its region, while they
 //     have capacity: the latency between regions exceeds most response times.
+//     Of two targets that report their slowdowns, the one with the smaller product of
+//     load + 1 and expected latency gets the request. Two random ones are compared, not
+//     all, since all entries see the same values and would choose the same target. A
+//     target that is slow now ranks like one with a higher load, and is not avoided.
 //  2. After a refusal with not-run the next target is tried at once. After MaxRefusals
 //     refusals the caller is refused with a retry-after time.
 //  3. An idempotent request is retried at another target if its target fails or sends
