--- a/calls/balancer.go
+++ b/calls/balancer.go
@@ -139,9 +139,8 @@
 
 func (ba *Balancer) class(now time.Time, ta fleet.Target, mean time.Duration) int {
 	ts, load := ba.stats[ta.ID], ba.slowedLoad(now, ta)
-	slow := mean > 0 && !ts.slowdowns.known() && float64(ts.latency) > slowRatio*float64(mean)
 	switch {
-	case slow || now.Before(ts.backoffUntil):
+	case ts.slow(mean) || now.Before(ts.backoffUntil):
 		return degraded
 	case ta.Distance == fleet.OtherRegion:
 		return remoteOrBusy
@@ -156,6 +155,12 @@
 	}
 }
 
+// slow reports whether the mean latency exceeds that of the service by slowRatio. On a shared
+// host that is no reason to avoid a target: it is used where the others have longer queues.
+func (ts *targetStats) slow(mean time.Duration) bool {
+	return mean > 0 && !ts.slowdowns.known() && float64(ts.latency) > slowRatio*float64(mean)
+}
+
 func (ba *Balancer) lessLoaded(lhs, rhs fleet.Target) fleet.Target {
 	if ba.load(rhs) < ba.load(lhs) {
 		return rhs
