--- a/calls/balancer_test.go
+++ b/calls/balancer_test.go
@@ -17,6 +17,19 @@
 	}
 }
 
+// Guards against a target on a shared host that gets no call while the others have queues,
+// since its mean latency is high.
+func TestSlowTargetOnSharedHost(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for slowdown, want := range map[int]int{0: degraded, 100: sameRegion} {
+		ba := &Balancer{}
+		ta := fleet.Target{ID: "t0", Service: "lm", Slots: 6, Distance: fleet.SameRegion}
+		ba.Update(now, []fleet.Target{ta})
+		answered(ba, now, "t0", 300*time.Millisecond, slowdown)
+		require.Equal(t, want, ba.class(now.Add(keepAlive), ta, 50*time.Millisecond), "slowdown %d", slowdown)
+	}
+}
+
 // Guards against a slowdown that counts after its time, one that counts twice since the
 // mean was measured at it, a slow target that is never used, and any effect without
 // reported slowdowns.
--- a/calls/slowdown_test.go
+++ b/calls/slowdown_test.go
@@ -124,6 +124,6 @@
 	with, slowest := figures(true)
 	without, slowestBefore := figures(false)
 	t.Logf("mean and 99th percentile: with slowdowns %v %v, without %v %v", with, slowest, without, slowestBefore)
-	require.Less(t, with, without*95/100)
+	require.Less(t, with, without*90/100, "without the class by slowdown, or the choice by expected latency, it is longer")
 	require.LessOrEqual(t, slowest, slowestBefore)
 }
--- a/place/shared_test.go
+++ b/place/shared_test.go
@@ -249,13 +249,22 @@
 	return step, moves / seeds
 }
 
-// Guards against runs that move whenever their host is slow for some hundred ms.
+// Guards against runs that move whenever their host is slow for some hundred ms, long items
+// on engines that are quick only at the moment, and runs that stay on an engine that is slow
+// for seconds.
 func TestReplaySharedHosts(t *testing.T) {
 	for _, spell := range []bool{false, true} {
 		with, moves := meanShared(sharedReplay{shared: true, window: place.SharedPaceWindow, spell: spell})
 		without, movesBefore := meanShared(sharedReplay{window: place.SharedPaceWindow, spell: spell})
 		t.Logf("spell %v: with the rule %v and %d moves, without %v and %d", spell, with, moves, without, movesBefore)
-		require.Less(t, with, without)
-		require.Less(t, moves, movesBefore)
+		require.Less(t, with, without*97/100)
+		require.Less(t, moves, movesBefore/5)
+		if !spell {
+			require.Less(t, with, without*965/1000, "the choice for long items by the momentary pace takes longer")
+			continue
+		}
+		staying, _ := meanShared(sharedReplay{shared: true, window: place.SharedPaceWindow, spell: true, noSlowMoves: true})
+		t.Logf("without moves off slow engines %v", staying)
+		require.Less(t, with, staying)
 	}
 }
