--- a/place/place.go
+++ b/place/place.go
@@ -48,8 +48,8 @@
 //     produced no event for AbandonTimeout.
 //     On a shared host, slow periods of some hundred ms are usual and no reason to move.
 //     The pace of such an engine, in all rules, is its mean over SharedPaceWindow; a run
-//     leaves it as slow only for an engine on which it ends earlier by MinMoveGain and the
-//     cost of the move. Its timeouts are longer by the slowdown that is usual there.
+//     leaves it as slow only for an engine that is faster by SlowFactor and on which it ends
+//     earlier by MinMoveGain and the cost of the move. Its timeouts are longer by the slowdown that is usual there.
 //  8. Engines that serve another model are used only if no engine of the item's
 //     own model can serve it: the owners of that model's jobs plan with their
 //     slots and empty them for loads.
--- a/place/shared.go
+++ b/place/shared.go
@@ -4,7 +4,8 @@
 
 const (
 	// SharedPaceWindow is the time over which the pace of an engine on a shared host is
-	// averaged: several of the periods of about 600 ms in which such a host is slow.
+	// averaged: several of the periods of about 600 ms in which such a host is slow. With
+	// 1 s runs move twice as often, and steps are as long.
 	SharedPaceWindow = 2 * time.Second
 	// sharedSlowdown is the factor by which a shared host is slower in such a period.
 	sharedSlowdown = 2.5
@@ -30,8 +31,9 @@
 }
 
 // endsEarlier reports whether an item that is to leave a slow engine on a shared host ends
-// earlier on another engine by enough to be worth the move (rule 7). It is true for all
-// other items.
+// earlier on another engine by enough to be worth the move (rule 7), which must be faster by
+// SlowFactor: one that is itself slower than most may be the next to be left. It is true for
+// all other items.
 func (sn *Snapshot) endsEarlier(it Item, other Engine) bool {
 	if it.MoveReason != Slow {
 		return true
@@ -44,5 +46,6 @@
 	if elsewhere == 0 {
 		elsewhere = sn.median
 	}
-	return time.Duration(it.RemainingEvents)*(sn.engines[at].pace()-elsewhere) >= MinMoveGain+moveCost
+	here := sn.engines[at].pace()
+	return float64(here) > SlowFactor*float64(elsewhere) && time.Duration(it.RemainingEvents)*(here-elsewhere) >= MinMoveGain+moveCost
 }
--- a/runs/engine.go
+++ b/runs/engine.go
@@ -25,6 +25,7 @@
 	// slowdown.
 	sharedHost    bool
 	longPace      longPace
+	longPaceAt    time.Time
 	backoffUntil  time.Time
 	interruptions int
 	// refusals counts consecutive refusals, interruptions consecutive interruptions.
