--- a/calls/balancer.go
+++ b/calls/balancer.go
@@ -45,7 +45,8 @@
 	backoffUntil     time.Time
 	latency          time.Duration
 	// lastUsed is the time of the last successful response.
-	lastUsed time.Time
+	lastUsed  time.Time
+	slowdowns slowdowns
 }
 
 // Balancer chooses among the targets of a service by distance, load, latency and
@@ -120,7 +121,7 @@
 	}
 	for _, from := range classes {
 		if len(from) > 0 {
-			return ba.lessLoaded(from[intN(len(from))], from[intN(len(from))]), limited, true
+			return ba.better(now, from[intN(len(from))], from[intN(len(from))]), limited, true
 		}
 	}
 	return fleet.Target{}, limited, false
@@ -137,10 +138,9 @@
 )
 
 func (ba *Balancer) class(now time.Time, ta fleet.Target, mean time.Duration) int {
-	ts, load := ba.stats[ta.ID], ba.load(ta)
-	slow := mean > 0 && float64(ts.latency) > slowRatio*float64(mean)
+	ts, load := ba.stats[ta.ID], ba.slowedLoad(now, ta)
 	switch {
-	case slow || now.Before(ts.backoffUntil):
+	case ts.slow(mean) || now.Before(ts.backoffUntil):
 		return degraded
 	case ta.Distance == fleet.OtherRegion:
 		return remoteOrBusy
@@ -155,6 +155,12 @@
 	}
 }
 
+// slow reports whether the mean latency exceeds that of the service by slowRatio. On a shared
+// host that is no reason to avoid a target: it is used where the others have longer queues.
+func (ts *targetStats) slow(mean time.Duration) bool {
+	return mean > 0 && !ts.slowdowns.known() && float64(ts.latency) > slowRatio*float64(mean)
+}
+
 func (ba *Balancer) lessLoaded(lhs, rhs fleet.Target) fleet.Target {
 	if ba.load(rhs) < ba.load(lhs) {
 		return rhs
@@ -210,6 +216,9 @@
 	case ou.err == nil:
 		ts.failures, ts.lastUsed = 0, now
 		ts.latency += time.Duration(latencyWeight * float64(ou.took-ts.latency))
+		if ou.response.Slowdown > 0 {
+			ts.slowdowns = ts.slowdowns.add(now, ou.took, ou.response.Slowdown)
+		}
 		if ou.response.Slots > 0 {
 			ts.reported, ts.inFlightAtReport = ou.response.Running+ou.response.Waiting, then // the reported load still includes the answered request
 		}
