--- a/intake/access_test.go
+++ b/intake/access_test.go
@@ -99,6 +99,7 @@
 		require.Equal(t, 202, cl.serve(node, "POST", "/open/j2", ""))
 		require.Equal(t, 200, cl.serve(node, "GET", jobURL+"j2", ""), "a job of a public route")
 		cl.stop()
+		synctest.Wait() // calls of a killed entry may still log their errors
 		require.Contains(t, cl.logs.String(), conf.KeyDigest("secret-none"))
 		require.NotContains(t, cl.logs.String(), "secret")
 	})
