--- a/intake/access_test.go
+++ b/intake/access_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -138,6 +139,13 @@
 	})
 }
 
+// generated returns the number of events of each item so far.
+func (cl *cluster) generated() map[string]int {
+	cl.engines.mutex.Lock()
+	defer cl.engines.mutex.Unlock()
+	return maps.Clone(cl.engines.generated)
+}
+
 // A text of another workspace is not continued, although the items have the same ids.
 func TestPartialTextsOfWorkspaces(t *testing.T) {
 	for _, tc := range []struct {
@@ -160,16 +168,13 @@
 					second.Items = append(second.Items, it)
 				}
 			}
-			before := map[string]int{}
-			for _, it := range second.Items {
-				before[it.ID] = cl.engines.generated[it.ID]
-			}
+			before := cl.generated()
 			require.Nil(t, cl.submit(1, second))
 			time.Sleep(6 * time.Second)
 			cl.requireComplete(0, second)
-			reused := 0
+			after, reused := cl.generated(), 0
 			for _, it := range second.Items {
-				if cl.engines.generated[it.ID]-before[it.ID] < length(it.ID) {
+				if after[it.ID]-before[it.ID] < length(it.ID) {
 					reused++
 				}
 			}
