--- a/intake/access_test.go
+++ b/intake/access_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -99,6 +100,7 @@
 		require.Equal(t, 202, cl.serve(node, "POST", "/open/j2", ""))
 		require.Equal(t, 200, cl.serve(node, "GET", jobURL+"j2", ""), "a job of a public route")
 		cl.stop()
+		synctest.Wait() // calls of a killed entry may still log their errors
 		require.Contains(t, cl.logs.String(), conf.KeyDigest("secret-none"))
 		require.NotContains(t, cl.logs.String(), "secret")
 	})
@@ -137,6 +139,13 @@
 	})
 }
 
+// generated returns the number of events of each item so far.
+func (cl *cluster) generated() map[string]int {
+	cl.engines.mutex.Lock()
+	defer cl.engines.mutex.Unlock()
+	return maps.Clone(cl.engines.generated)
+}
+
 // A text of another workspace is not continued, although the items have the same ids.
 func TestPartialTextsOfWorkspaces(t *testing.T) {
 	for _, tc := range []struct {
@@ -159,16 +168,13 @@
 					second.Items = append(second.Items, it)
 				}
 			}
-			before := map[string]int{}
-			for _, it := range second.Items {
-				before[it.ID] = cl.engines.generated[it.ID]
-			}
+			before := cl.generated()
 			require.Nil(t, cl.submit(1, second))
 			time.Sleep(6 * time.Second)
 			cl.requireComplete(0, second)
-			reused := 0
+			after, reused := cl.generated(), 0
 			for _, it := range second.Items {
-				if cl.engines.generated[it.ID]-before[it.ID] < length(it.ID) {
+				if after[it.ID]-before[it.ID] < length(it.ID) {
 					reused++
 				}
 			}
