--- a/calls/calls.go
+++ b/calls/calls.go
@@ -144,6 +144,9 @@
 	Rates *quota.Limits
 	// Origins is optional; without it the origin of a stream that a caller resumes is unknown.
 	Origins Origins
+	// OnRun is optional; it is called once for each caller's request with a workspace that
+	// began to run, and must not block.
+	OnRun func(Ran)
 }
 
 // outcome is the result of one attempt.
@@ -177,10 +180,11 @@
 	limited   []fleet.Target
 	waitUntil time.Time
 	permitAt  time.Time
+	runs      *runLog
 }
 
 func newAttempts(fo *Forwarder, re Request) *attempts {
-	return &attempts{fo: fo, re: re, service: re.Route.Pick(fo.IntN), digest: re.digest()}
+	return &attempts{fo: fo, re: re, service: re.Route.Pick(fo.IntN), digest: re.digest(), runs: newRunLog(fo, re)}
 }
 
 // Do forwards a request. Its errors carry a verdict and, if the request did not run, a
@@ -192,6 +196,7 @@
 	at := newAttempts(fo, re)
 	at.results = make(chan outcome, fo.maxAttempts(re)+MaxRefusals)
 	res, err := at.run(ctx)
+	at.runs.end()
 	now := fo.Clock.Now()
 	more := []any{"status", res.Status}
 	if err != nil {
@@ -224,7 +229,7 @@
 	if !at.launchOrWait(ctx) {
 		return Response{}, at.finalError()
 	}
-	hedge := at.fo.Clock.After(at.latencyShare(HedgeShare))
+	hedge, assumed := at.fo.Clock.After(at.latencyShare(HedgeShare)), at.runs.assumed(at.fo)
 	for {
 		select {
 		case ou := <-at.results:
@@ -240,6 +245,8 @@
 			if at.re.Route.Kind == conf.Idempotent {
 				at.launch(ctx)
 			}
+		case <-assumed:
+			at.runs.end()
 		case <-ctx.Done():
 			return Response{}, at.deadlineError()
 		}
@@ -293,10 +300,14 @@
 		return false
 	}
 	at.inFlight++
+	started := fo.Clock.Now()
+	at.runs.sent(ta, started)
 	go func() {
-		started := fo.Clock.Now()
 		res, err := fo.send(ctx, ta, at.re)
 		ou := outcome{target: ta, response: res, err: core.AsError(err), took: fo.Clock.Now().Sub(started)}
+		if ou.err != nil && ou.err.Verdict == core.NotRun {
+			at.runs.refused(ta)
+		}
 		canceled := ctx.Err() != nil
 		fo.Balancer.end(fo.Clock.Now(), ta.ID, ou, canceled)
 		at.recordHealth(ou, canceled)
--- a/calls/stream.go
+++ b/calls/stream.go
@@ -68,6 +68,7 @@
 	if err == nil {
 		err = st.run(ctx, started)
 	}
+	st.runs.end()
 	st.record(err, fo.Clock.Now().Sub(started), "events", st.events, "after", st.lastEventID, "software", st.software, "first", st.firstEventAfter)
 	return err
 }
@@ -128,6 +129,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	began := fo.Clock.Now()
+	st.runs.sent(ta, began)
 	var (
 		stalled atomic.Bool
 		first   time.Duration
@@ -150,6 +152,7 @@
 			first = fo.Clock.Now().Sub(began)
 		}
 		if st.events == 0 {
+			st.runs.firstEvent(ta, fo.Clock.Now())
 			st.firstEventAfter = fo.Clock.Now().Sub(started)
 			st.recordFirstEvent()
 		}
@@ -169,6 +172,9 @@
 	if err != nil && stalled.Load() {
 		err = core.InDoubt(core.CodeTargetLost, "target %s sent no event on the stream within the time limit", ta.ID)
 	}
+	if failed := core.AsError(err); failed != nil && failed.Verdict == core.NotRun {
+		st.runs.refused(ta)
+	}
 	if first == 0 { // a stream without events was answered when it ended
 		first = fo.Clock.Now().Sub(began)
 	}
--- a/fleet/distance.go
+++ b/fleet/distance.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "time"
+
 // Distance is how far a target is from an instance; nearer ones are smaller.
 type Distance int
 
@@ -13,6 +15,25 @@
 	OtherRegion
 )
 
+// The one-way delays of the network by distance.
+const (
+	domainDelay  = time.Millisecond
+	regionDelay  = 2 * time.Millisecond
+	distantDelay = 30 * time.Millisecond
+)
+
+// Delay returns the usual one-way delay of the network over the distance.
+func (di Distance) Delay() time.Duration {
+	switch di {
+	case SameDomain:
+		return domainDelay
+	case SameRegion:
+		return regionDelay
+	default:
+		return distantDelay
+	}
+}
+
 // Location is the region and failure domain of an instance, with the regions of the
 // failure domains that it knows.
 type Location struct {
--- a/table/table.go
+++ b/table/table.go
@@ -63,6 +63,9 @@
 	Rows    []Row
 	More    bool
 	Version uint64
+	// Now is the store's clock at its answer, which all its clients share; zero if the answer
+	// has none. Its origin is not known.
+	Now time.Duration
 }
 
 // The errors that callers distinguish. After any other error of a commit it is
