--- a/intake/intake.go
+++ b/intake/intake.go
@@ -52,6 +52,8 @@
 	LowCapacity bool
 	// MaxBodyBytes bounds the total bytes of bodies in memory; zero means no bound.
 	MaxBodyBytes int64
+	// Usage configures the usage reports.
+	Usage UsageSettings
 }
 
 // Entry accepts requests and jobs and runs the jobs that it owns. Create it with
@@ -112,6 +114,9 @@
 	// peerClients maps inner addresses to clients of the store through a peer.
 	peerClients map[string]table.Client
 
+	// usage is nil if the platform wants no usage reports.
+	usage *usageDuty
+
 	losses     chan poison.Loss
 	bodyMemory limit.ByteBudget
 }
@@ -164,12 +169,17 @@
 	en.rates.OnChange, en.rates.OnMalformed, en.rates.OnTake = en.limitChanged, en.limitMalformed, en.permitTaken
 	en.bodyMemory.Max = se.MaxBodyBytes
 	en.ctx, en.stop = context.WithCancel(context.Background())
-	en.store = &relay.Store{Direct: po.Direct, Peers: en.peers, Clock: clock, Logger: lg}
+	en.usage = en.newUsageDuty()
+	en.store = &relay.Store{Direct: en.usage.observe(en, po.Direct), Peers: en.peers, Clock: clock, Logger: lg}
 	en.ledger = batch.Ledger{Store: en.store}
 	en.forwarder = &calls.Forwarder{
 		Sender: po.Sender, Streamer: po.Streamer, Clock: clock, Logger: lg, Meters: me, IntN: rand.IntN, Balancer: en.balancer, OnDeath: en.enqueueLoss,
 		Departures: en.departures, Rates: en.rates, Origins: en,
 	}
+	if en.usage != nil {
+		en.forwarder.OnRun = en.countRun
+		en.usage.reporter.Store = en.store
+	}
 	en.owner = &runs.Owner{
 		Ledger: en.ledger, Index: en.index, Engine: po.Engine, Scorer: en,
 		Clock: clock, Logger: lg, Meters: me, Loop: en.loop, Departures: en.departures, Rates: en.rates,
@@ -190,6 +200,7 @@
 	group.Go(func() { en.sweep(ctx) })
 	group.Go(func() { en.shareLosses(ctx) })
 	group.Go(func() { en.askForPermits(ctx) })
+	group.Go(func() { en.runUsage(ctx) })
 	for _, fe := range en.feeds() {
 		group.Go(func() { fe.Run(ctx) })
 	}
--- a/intake/stop.go
+++ b/intake/stop.go
@@ -47,6 +47,7 @@
 	call, cancel := context.WithTimeout(context.Background(), releaseBefore-stopBefore)
 	defer cancel()
 	en.owner.Release(call)
+	en.storeUsage(call)
 	if _, err := en.store.Commit(call, table.Tx{Drops: []table.ID{member.ID(en.settings.Node)}}); err != nil {
 		logs.Warn(en.logger, "cannot delete the row of this entry", "err", err)
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -58,6 +58,9 @@
 	Region    string `cbor:"8,keyasint"`
 	// Limits are those of the targets whose permits the entry issues, encoded by quota.
 	Limits cbor.ByteString `cbor:"9,keyasint,omitempty"`
+	// Offset is by how much the entry's wall clock is ahead of the platform's clock; zero if
+	// it is not measured.
+	Offset time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // Encode returns the stored value of a record.
