--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -21,10 +21,9 @@
 	passInterval = 250 * time.Millisecond
 	// storeTimeout bounds the calls to the store in one pass.
 	storeTimeout = 2 * time.Second
-	// A report is repeated after retryDelay. The first send gets sendTimeout, later ones
-	// slowTimeout: the platform's API may take 64 times as long as usual.
-	sendTimeout = 1500 * time.Millisecond
-	slowTimeout = 5 * time.Second
+	// A report is repeated after retryDelay. The timeout is shorter than the lease, so that a
+	// call has ended before another holder calls.
+	sendTimeout = 2 * time.Second
 	retryDelay  = 500 * time.Millisecond
 	// maxSending bounds the reports that are sent at a time.
 	maxSending = 8
@@ -284,11 +283,7 @@
 // send sends a report once, and marks it as sent if it was accepted.
 func (rp *Reporter) send(ctx context.Context, window uint64, st *stored) {
 	began := rp.Clock.Now()
-	timeout := sendTimeout
-	if st.tries > 0 {
-		timeout = slowTimeout
-	}
-	call, cancel := context.WithTimeout(ctx, timeout)
+	call, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	token, permitted := rp.Permission.Permit(rp.Clock.Now())
 	var err error
