duty: one entry at a time makes the calls to the platform's API

Calls such as usage reports are the duty of one instance at a time, and the API does not reject those of an earlier holder. Package duty has the lease (a row of the store and a pure state machine) and its runner; setup reads [duties], platform.Duties is the client, and an entry whose settings name duties runs the lease and releases it when it stops. Without the table nothing changes.

An instance is identified by node, address and start of the machine, since two instances may have the same name.

--- a/boot/node.go
+++ b/boot/node.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 
 	"bilberryshelf/core"
+	"bilberryshelf/duty"
 	"bilberryshelf/fleet"
 	"bilberryshelf/intake"
 	"bilberryshelf/meter"
@@ -54,7 +55,9 @@
 	en := intake.New(intake.Settings{
 		Node: se.Name, Region: se.Place.Region, Domain: se.Place.FailureDomain, Inner: se.Listen.Inner, Grace: se.Timing.Grace.Std(),
 		LowCapacity: se.Instance.Cores < minJobCores, MaxBodyBytes: int64(maxBodyShare * float64(se.Instance.Memory)),
+		Duties: dutySettings(se),
 	}, intake.Ports{
+		Duties: platform.NewDuties(se.Duties.Address, se.Name).WithRate(se.Duties.CallsPerSecond),
 		Direct: store, Sender: targets, Streamer: targets, Engine: targets, Departures: departures, Rates: rates,
 		Dial: func(addr string) table.Client { return relay.NewClient(inner, addr) },
 		Starter: func(addr string) intake.Starter {
@@ -81,6 +84,16 @@
 	})
 }
 
+// dutySettings returns the settings of the duties.
+func dutySettings(se setup.NodeSettings) intake.DutySettings {
+	du := se.Duties.WithDefaults()
+	return intake.DutySettings{
+		Instance: duty.InstanceID(se.Name, se.Listen.Inner), Lease: du.Lease.Std(),
+		Usage: du.Has(setup.DutyUsage), Autoscale: du.Has(setup.DutyAutoscale),
+		ReportWindow: du.ReportWindow.Std(), ReportDue: du.ReportDue.Std(),
+	}
+}
+
 // responseLimits returns the limits on responses of an instance.
 func responseLimits(se setup.NodeSettings) platform.ResponseLimits {
 	li := se.Limits
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -18,6 +18,7 @@
 	"bilberryshelf/calls"
 	"bilberryshelf/conf"
 	"bilberryshelf/core"
+	"bilberryshelf/duty"
 	"bilberryshelf/fleet"
 	"bilberryshelf/limit"
 	"bilberryshelf/member"
@@ -52,6 +53,8 @@
 	LowCapacity bool
 	// MaxBodyBytes bounds the total bytes of bodies in memory; zero means no bound.
 	MaxBodyBytes int64
+	// Duties are the calls that are made by one entry at a time.
+	Duties DutySettings
 }
 
 // Entry accepts requests and jobs and runs the jobs that it owns. Create it with
@@ -114,6 +117,10 @@
 
 	losses     chan poison.Loss
 	bodyMemory limit.ByteBudget
+
+	// lease and dutyClient are nil if there are no duties.
+	lease      *duty.Runner
+	dutyClient DutyClient
 }
 
 // Ports holds an entry's clients of the store, the engines and the other entries.
@@ -136,6 +143,10 @@
 	Issuer func(addr string) Issuer
 	// Origins returns a client for the origins of streams at the peer at an inner address.
 	Origins func(addr string) OriginClient
+	// Duties makes the calls of the duties; it may be nil if there are none.
+	Duties DutyClient
+	// Boot is the clock that counts suspensions; nil means that of the system.
+	Boot duty.BootClock
 }
 
 // Starter hands a job over to another entry.
@@ -175,6 +186,7 @@
 		Clock: clock, Logger: lg, Meters: me, Loop: en.loop, Departures: en.departures, Rates: en.rates,
 	}
 	en.owner.Init(en.ctx)
+	en.lease, en.dutyClient = en.newLease(po), po.Duties
 	return en
 }
 
@@ -190,6 +202,9 @@
 	group.Go(func() { en.sweep(ctx) })
 	group.Go(func() { en.shareLosses(ctx) })
 	group.Go(func() { en.askForPermits(ctx) })
+	if en.lease != nil {
+		group.Go(func() { en.lease.Run(ctx) })
+	}
 	for _, fe := range en.feeds() {
 		group.Go(func() { fe.Run(ctx) })
 	}
--- a/intake/stop.go
+++ b/intake/stop.go
@@ -38,6 +38,7 @@
 	endsAt := started.Add(en.settings.Grace - answerBefore)
 	en.endsAt.Store(&endsAt)
 	elapsed := func() time.Duration { return en.clock.Now().Sub(started) }
+	go en.releaseDuties(en.ctx)
 	for elapsed() < en.settings.Grace-releaseBefore {
 		if elapsed() >= minDrainTime && en.owner.Idle() {
 			break
--- a/setup/node.go
+++ b/setup/node.go
@@ -11,6 +11,7 @@
 	Engine   NodeEngine `toml:"engine"`
 	Timing   NodeTiming `toml:"timing"`
 	Limits   NodeLimits `toml:"limits"`
+	Duties   NodeDuties `toml:"duties"`
 }
 
 // NodeListen holds the addresses on which a process serves requests. A guard serves only
@@ -91,6 +92,7 @@
 		ch.address(no.Listen.Callers, "listen.callers")
 		ch.address(no.Listen.Readiness, "listen.readiness")
 		ch.address(no.Listen.Inner, "listen.inner")
+		no.Duties.check(ch)
 	})
 }
 
