--- a/intake/intake.go
+++ b/intake/intake.go
@@ -18,6 +18,7 @@
 	"bilberryshelf/calls"
 	"bilberryshelf/conf"
 	"bilberryshelf/core"
+	"bilberryshelf/duty"
 	"bilberryshelf/fleet"
 	"bilberryshelf/limit"
 	"bilberryshelf/member"
@@ -52,8 +53,8 @@
 	LowCapacity bool
 	// MaxBodyBytes bounds the total bytes of bodies in memory; zero means no bound.
 	MaxBodyBytes int64
-	// Usage configures the usage reports.
-	Usage UsageSettings
+	// Duties are the calls that are made by one entry at a time.
+	Duties DutySettings
 }
 
 // Entry accepts requests and jobs and runs the jobs that it owns. Create it with
@@ -119,6 +120,10 @@
 
 	losses     chan poison.Loss
 	bodyMemory limit.ByteBudget
+
+	// lease and dutyClient are nil if there are no duties.
+	lease      *duty.Runner
+	dutyClient DutyClient
 }
 
 // Ports holds an entry's clients of the store, the engines and the other entries.
@@ -141,6 +146,10 @@
 	Issuer func(addr string) Issuer
 	// Origins returns a client for the origins of streams at the peer at an inner address.
 	Origins func(addr string) OriginClient
+	// Duties makes the calls of the duties; it may be nil if there are none.
+	Duties DutyClient
+	// Boot is the clock that counts suspensions; nil means that of the system.
+	Boot duty.BootClock
 }
 
 // Starter hands a job over to another entry.
@@ -176,15 +185,13 @@
 		Sender: po.Sender, Streamer: po.Streamer, Clock: clock, Logger: lg, Meters: me, IntN: rand.IntN, Balancer: en.balancer, OnDeath: en.enqueueLoss,
 		Departures: en.departures, Rates: en.rates, Origins: en,
 	}
-	if en.usage != nil {
-		en.forwarder.OnRun = en.countRun
-		en.usage.reporter.Store = en.store
-	}
 	en.owner = &runs.Owner{
 		Ledger: en.ledger, Index: en.index, Engine: po.Engine, Scorer: en,
 		Clock: clock, Logger: lg, Meters: me, Loop: en.loop, Departures: en.departures, Rates: en.rates,
 	}
 	en.owner.Init(en.ctx)
+	en.lease, en.dutyClient = en.newLease(po), po.Duties
+	en.connectUsage()
 	return en
 }
 
@@ -201,6 +208,9 @@
 	group.Go(func() { en.shareLosses(ctx) })
 	group.Go(func() { en.askForPermits(ctx) })
 	group.Go(func() { en.runUsage(ctx) })
+	if en.lease != nil {
+		group.Go(func() { en.lease.Run(ctx) })
+	}
 	for _, fe := range en.feeds() {
 		group.Go(func() { fe.Run(ctx) })
 	}
--- a/intake/usage.go
+++ b/intake/usage.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"bilberryshelf/calls"
+	"bilberryshelf/core"
+	"bilberryshelf/duty"
 	"bilberryshelf/logs"
 	"bilberryshelf/table"
 	"bilberryshelf/usage"
@@ -15,15 +17,6 @@
 // of at most that time.
 const usageInterval = 500 * time.Millisecond
 
-// UsageSettings configures the counting and reporting of requests by workspace.
-type UsageSettings struct {
-	// Enabled is set where the platform wants usage reports.
-	Enabled bool
-	// Length is the length of a window, Limit the time after its end by which its report is
-	// due; zero means the defaults of package usage.
-	Length, Limit time.Duration
-}
-
 // usageDuty counts, stores and reports the requests of each workspace. Nil means that nothing
 // is counted.
 type usageDuty struct {
@@ -35,23 +28,50 @@
 	storing sync.Mutex
 }
 
-// newUsageDuty returns nil if usage is not enabled.
+// newUsageDuty returns nil if the platform wants no usage reports.
 func (en *Entry) newUsageDuty() *usageDuty {
-	se := en.settings.Usage
-	if !se.Enabled {
+	se := en.settings.Duties
+	if !se.Usage {
 		return nil
 	}
-	us := &usageDuty{length: se.Length}
+	us := &usageDuty{length: se.ReportWindow}
 	if us.length <= 0 {
 		us.length = usage.DefaultLength
 	}
 	us.reporter = &usage.Reporter{
-		Name: en.name, Clock: en.clock, Logger: en.logger, Meters: en.meters, Length: us.length, Limit: se.Limit,
+		Name: en.name, Clock: en.clock, Logger: en.logger, Meters: en.meters, Length: us.length, Limit: se.ReportDue,
 		Now: func() time.Duration { return us.truth.At(en.clock.Now()) },
 	}
 	return us
 }
 
+// connectUsage connects the counter and the reporter to the other parts of the entry.
+func (en *Entry) connectUsage() {
+	if en.usage == nil {
+		return
+	}
+	en.forwarder.OnRun = en.countRun
+	if rp := en.usage.reporter; en.lease != nil {
+		rp.Store, rp.Permission, rp.Sender = en.store, en.lease, guardedReports{en.lease, en.dutyClient, en.clock}
+	}
+}
+
+// guardedReports sends reports only while the lease is valid, and tells it their outcome.
+type guardedReports struct {
+	lease  *duty.Runner
+	client DutyClient
+	clock  core.Clock
+}
+
+// ReportUsage implements usage.Sender.
+func (gr guardedReports) ReportUsage(ctx context.Context, token, window uint64, counts map[string]uint64) error {
+	err := gr.client.ReportUsage(duty.Guard(ctx, gr.lease, token, gr.clock), token, window, counts)
+	if reached, known := duty.Reached(err); known {
+		gr.lease.Called(reached)
+	}
+	return err
+}
+
 // observe returns a store whose answers give readings of the platform's clock.
 func (us *usageDuty) observe(en *Entry, direct table.Watcher) table.Watcher {
 	if us == nil {
@@ -84,8 +104,8 @@
 		return
 	}
 	var group sync.WaitGroup
-	if rp := en.usage.reporter; rp.Permission != nil && rp.Sender != nil {
-		group.Go(func() { rp.Run(ctx) })
+	if en.lease != nil {
+		group.Go(func() { en.usage.reporter.Run(ctx) })
 	}
 	for ctx.Err() == nil {
 		select {
