--- a/intake/usage_test.go
+++ b/intake/usage_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -62,15 +63,23 @@
 	tokens   []uint64
 	differ   bool
 	latest   time.Duration
+	// holder is the node that sent last.
+	holder int
 }
 
-func (rs *reports) ReportUsage(_ context.Context, token, window uint64, counts map[string]uint64) error {
+// reporter is the client of one node.
+type reporter struct {
+	*reports
+	node int
+}
+
+func (rs reporter) ReportUsage(_ context.Context, token, window uint64, counts map[string]uint64) error {
 	rs.mutex.Lock()
 	defer rs.mutex.Unlock()
 	if have, found := rs.byWindow[window]; found && fmt.Sprint(have) != fmt.Sprint(counts) {
 		rs.differ = true
 	}
-	rs.byWindow[window], rs.tokens = counts, append(rs.tokens, token)
+	rs.byWindow[window], rs.tokens, rs.holder = counts, append(rs.tokens, token), rs.node
 	rs.latest = max(rs.latest, time.Since(time.Unix(int64(window+1)*5, 0)))
 	return nil
 }
@@ -101,22 +110,25 @@
 			})
 			require.Nil(t, err)
 		}
+		killed := -1
 		first := uint64(time.Now().Unix() / 5)
 		for at := range 8 {
 			window := uint64(time.Now().Unix() / 5)
 			want[window] = map[string]uint64{}
 			if at != 3 { // a window without requests
 				for node := range cl.entries {
-					if at < 4 || node > 0 {
+					if node != killed {
 						call(node, "w"+strconv.Itoa(node%2), false)
 						want[window]["w"+strconv.Itoa(node%2)]++
 					}
 				}
-				call(1, "w0", true)
-				call(1, "", false)
-			}
-			if at == 3 {
-				cl.entries[0].Kill()
+				live := (killed + 1) % len(cl.entries)
+				call(live, "w0", true)
+				call(live, "", false)
+			} else {
+				time.Sleep(1500 * time.Millisecond) // the window before has been reported
+				killed = rs.holder
+				cl.entries[killed].Kill()
 			}
 			time.Sleep(time.Until(time.Unix(int64(window+1)*5, 0).Add(2500 * time.Millisecond)))
 		}
@@ -125,6 +137,7 @@
 		defer rs.mutex.Unlock()
 		require.False(t, rs.differ)
 		require.LessOrEqual(t, rs.latest, 10*time.Second)
+		require.Equal(t, []uint64{1, 2}, slices.Compact(rs.tokens), "the duty passed on once")
 		for window := first; window < first+8; window++ {
 			require.Equal(t, want[window], rs.byWindow[window], "window %d of %d", window-first, len(want))
 		}
@@ -144,7 +157,7 @@
 		intake.Settings{Node: name, Domain: "d", Inner: name, Grace: 8 * time.Second, Duties: intake.DutySettings{Instance: name, Usage: true}},
 		intake.Ports{
 			Direct: rows, Sender: an, Engine: an, Departures: an.departures, Rates: an.rates, Issuer: cl.issuer, Origins: cl.origins, Streamer: an,
-			Dial: func(string) table.Client { return cl.rows }, Starter: cl.starter, Duties: rs,
+			Dial: func(string) table.Client { return cl.rows }, Starter: cl.starter, Duties: reporter{rs, node},
 		},
 		cl.decoders(), clock, log.NewNopLogger(), &meter.Set{},
 	)
