--- a/calls/calls.go
+++ b/calls/calls.go
@@ -305,9 +305,7 @@
 	go func() {
 		res, err := fo.send(ctx, ta, at.re)
 		ou := outcome{target: ta, response: res, err: core.AsError(err), took: fo.Clock.Now().Sub(started)}
-		if ou.err != nil && ou.err.Verdict == core.NotRun {
-			at.runs.refused(ta)
-		}
+		at.runs.ended(ta, ou.err)
 		canceled := ctx.Err() != nil
 		fo.Balancer.end(fo.Clock.Now(), ta.ID, ou, canceled)
 		at.recordHealth(ou, canceled)
--- a/calls/ran.go
+++ b/calls/ran.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"bilberryshelf/core"
 	"bilberryshelf/fleet"
 )
 
@@ -56,9 +57,10 @@
 	rl.sends = append(rl.sends, sending{target: ta, at: at})
 }
 
-// refused records that a target did not run the request: the last sending to it is void.
-func (rl *runLog) refused(ta fleet.Target) {
-	if rl == nil {
+// ended records the outcome of an attempt. If the target did not run the request, the last
+// sending to it is void.
+func (rl *runLog) ended(ta fleet.Target, err *core.Error) {
+	if rl == nil || err == nil || err.Verdict != core.NotRun {
 		return
 	}
 	rl.mutex.Lock()
--- a/calls/stream.go
+++ b/calls/stream.go
@@ -172,9 +172,7 @@
 	if err != nil && stalled.Load() {
 		err = core.InDoubt(core.CodeTargetLost, "target %s sent no event on the stream within the time limit", ta.ID)
 	}
-	if failed := core.AsError(err); failed != nil && failed.Verdict == core.NotRun {
-		st.runs.refused(ta)
-	}
+	st.runs.ended(ta, core.AsError(err))
 	if first == 0 { // a stream without events was answered when it ended
 		first = fo.Clock.Now().Sub(began)
 	}
--- a/usage/model_test.go
+++ b/usage/model_test.go
@@ -194,8 +194,7 @@
 	return cl.rows.List(ctx, ra)
 }
 
-// simulate runs the world and returns what was violated.
-func simulate(mu mutant, draw func(label string, below int) int) string {
+func newWorld(mu mutant, draw func(label string, below int) int) *world {
 	wo := &world{
 		draw: draw, mutant: mu, now: 1000 * time.Second, bodies: map[uint64]string{}, accepted: map[uint64]bool{}, truth: map[uint64]Counts{}, inexact: map[uint64]bool{},
 	}
@@ -208,6 +207,12 @@
 			wo.holders[at].Settle = time.Nanosecond
 		}
 	}
+	return wo
+}
+
+// simulate runs a world and returns what was violated.
+func simulate(mu mutant, draw func(label string, below int) int) string {
+	wo := newWorld(mu, draw)
 	wo.count()
 	for range modelSteps {
 		switch wo.draw("step", 8) {
@@ -292,3 +297,21 @@
 		})
 	}
 }
+
+// The rows of reported windows must be deleted, or the table grows for ever.
+func TestRowsAreDeleted(t *testing.T) {
+	wo := newWorld(mutant{}, seeded(1))
+	wo.calm = true
+	for range 400 {
+		wo.count()
+		wo.advance(time.Second)
+		wo.pass(wo.holders[0])
+	}
+	rows := 0
+	for _, part := range append(Parts(), "") {
+		page, err := wo.rows.List(context.Background(), table.Range{Table: Table, Part: part})
+		require.NoError(t, err)
+		rows += len(page.Rows)
+	}
+	require.Less(t, rows, 150, "of 400 requests in 80 windows")
+}
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -348,38 +348,15 @@
 		return nil
 	}
 	rp.sweptAt = now
-	rp.mutex.Lock()
-	var expired []uint64
-	for window, st := range rp.reports {
-		if at := time.Duration(st.report.SentAt) * time.Millisecond; at != 0 && now-at > Retention {
-			expired = append(expired, window)
-		}
-	}
-	kept := rp.next
-	for window := range rp.reports {
-		if !slices.Contains(expired, window) {
-			kept = min(kept, window)
-		}
-	}
-	rp.mutex.Unlock()
+	expired, kept := rp.expired(now)
 	if len(expired) == 0 {
 		return nil
 	}
 	for _, part := range Parts() {
-		page, err := rp.Store.List(ctx, table.Range{Table: Table, Part: part, To: windowKey(kept), Limit: maxDrops})
-		if err != nil {
-			return errors.Wrap(err, "list old counts")
-		}
-		var drops []table.ID
-		for _, ro := range page.Rows {
-			drops = append(drops, ro.ID)
-		}
-		if err := rp.drop(ctx, drops); err != nil {
+		if err := rp.dropCounts(ctx, part, kept); err != nil {
 			return err
 		}
 	}
-	slices.Sort(expired)
-	expired = expired[:min(len(expired), maxDrops)]
 	var drops []table.ID
 	for _, window := range expired {
 		drops = append(drops, ReportID(window))
@@ -395,6 +372,36 @@
 	return nil
 }
 
+// expired returns the oldest windows that were reported more than Retention ago, and the first
+// window whose rows are kept.
+func (rp *Reporter) expired(now time.Duration) (expired []uint64, kept uint64) {
+	rp.mutex.Lock()
+	defer rp.mutex.Unlock()
+	kept = rp.next
+	for _, window := range slices.Sorted(maps.Keys(rp.reports)) {
+		at := time.Duration(rp.reports[window].report.SentAt) * time.Millisecond
+		if at != 0 && now-at > Retention {
+			expired = append(expired, window)
+		} else {
+			kept = min(kept, window)
+		}
+	}
+	return expired[:min(len(expired), maxDrops)], kept
+}
+
+// dropCounts deletes rows of a part with counts of windows before the given one.
+func (rp *Reporter) dropCounts(ctx context.Context, part string, before uint64) error {
+	page, err := rp.Store.List(ctx, table.Range{Table: Table, Part: part, To: windowKey(before), Limit: maxDrops})
+	if err != nil {
+		return errors.Wrap(err, "list old counts")
+	}
+	var drops []table.ID
+	for _, ro := range page.Rows {
+		drops = append(drops, ro.ID)
+	}
+	return rp.drop(ctx, drops)
+}
+
 func (rp *Reporter) drop(ctx context.Context, ids []table.ID) error {
 	if len(ids) == 0 {
 		return nil
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -33,8 +33,8 @@
 }
 
 // at returns the local time, without the monotonic part: the tests' wall clock is both.
-func (in instance) at(real time.Duration) time.Time {
-	return time.Unix(0, int64(real+in.wall-in.stopped))
+func (in instance) at(actual time.Duration) time.Time {
+	return time.Unix(0, int64(actual+in.wall-in.stopped))
 }
 
 // A wrong wall clock, a suspension and a slow or held up answer must not move the true time
@@ -54,9 +54,9 @@
 	tr.SetOffsets([]time.Duration{offset})
 	require.Equal(t, 2004*time.Second, tr.At(in.at(2000*time.Second)), "one entry has no one to compare with")
 	tr.SetOffsets([]time.Duration{offset, origin, origin + time.Millisecond})
-	check := func(real time.Duration, text string) {
+	check := func(actual time.Duration, text string) {
 		t.Helper()
-		require.InDelta(t, float64(real), float64(tr.At(in.at(real))), float64(near), text)
+		require.InDelta(t, float64(actual), float64(tr.At(in.at(actual))), float64(near), text)
 	}
 	check(2000*time.Second, "the median ignores one wrong wall clock")
 	reading(2001*time.Second, 2002*time.Second, 2002*time.Second, in)
