--- a/calls/calls.go
+++ b/calls/calls.go
@@ -153,6 +153,9 @@
 	Rates *quota.Limits
 	// Origins is optional; without it the origin of a stream that a caller resumes is unknown.
 	Origins Origins
+	// OnRun is optional; it is called once for each caller's request with a workspace that
+	// began to run, and must not block.
+	OnRun func(Ran)
 
 	shares shares
 }
@@ -188,10 +191,11 @@
 	limited   []fleet.Target
 	waitUntil time.Time
 	permitAt  time.Time
+	runs      *runLog
 }
 
 func newAttempts(fo *Forwarder, re Request) *attempts {
-	return &attempts{fo: fo, re: re, service: re.Route.Pick(fo.IntN), digest: re.digest()}
+	return &attempts{fo: fo, re: re, service: re.Route.Pick(fo.IntN), digest: re.digest(), runs: newRunLog(fo, re)}
 }
 
 // Do forwards a request. Its errors carry a verdict and, if the request did not run, a
@@ -203,6 +207,7 @@
 	at := newAttempts(fo, re)
 	at.results = make(chan outcome, fo.maxAttempts(re)+MaxRefusals)
 	res, err := at.runInShare(func() (Response, *core.Error) { return at.run(ctx) })
+	at.runs.end()
 	now := fo.Clock.Now()
 	more := []any{"status", res.Status}
 	if err != nil {
@@ -235,7 +240,7 @@
 	if !at.launchOrWait(ctx) {
 		return Response{}, at.finalError()
 	}
-	hedge := at.fo.Clock.After(at.latencyShare(HedgeShare))
+	hedge, assumed := at.fo.Clock.After(at.latencyShare(HedgeShare)), at.runs.assumed(at.fo)
 	for {
 		select {
 		case ou := <-at.results:
@@ -251,6 +256,8 @@
 			if at.re.Route.Kind == conf.Idempotent {
 				at.launch(ctx)
 			}
+		case <-assumed:
+			at.runs.end()
 		case <-ctx.Done():
 			return Response{}, at.deadlineError()
 		}
@@ -304,10 +311,12 @@
 		return false
 	}
 	at.inFlight++
+	started := fo.Clock.Now()
+	at.runs.sent(ta, started)
 	go func() {
-		started := fo.Clock.Now()
 		res, err := fo.send(ctx, ta, at.re)
 		ou := outcome{target: ta, response: res, err: core.AsError(err), took: fo.Clock.Now().Sub(started)}
+		at.runs.ended(ta, ou.err)
 		canceled := ctx.Err() != nil
 		fo.Balancer.end(fo.Clock.Now(), ta.ID, ou, canceled)
 		at.recordHealth(ou, canceled)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -18,6 +18,7 @@
 	"bilberryshelf/calls"
 	"bilberryshelf/conf"
 	"bilberryshelf/core"
+	"bilberryshelf/duty"
 	"bilberryshelf/fleet"
 	"bilberryshelf/limit"
 	"bilberryshelf/member"
@@ -52,6 +53,8 @@
 	LowCapacity bool
 	// MaxBodyBytes bounds the total bytes of bodies in memory; zero means no bound.
 	MaxBodyBytes int64
+	// Duties are the calls that are made by one entry at a time.
+	Duties DutySettings
 }
 
 // Entry accepts requests and jobs and runs the jobs that it owns. Create it with
@@ -112,8 +115,15 @@
 	// peerClients maps inner addresses to clients of the store through a peer.
 	peerClients map[string]table.Client
 
+	// usage is nil if the platform wants no usage reports.
+	usage *usageDuty
+
 	losses     chan poison.Loss
 	bodyMemory limit.ByteBudget
+
+	// lease and dutyClient are nil if there are no duties.
+	lease      *duty.Runner
+	dutyClient DutyClient
 }
 
 // Ports holds an entry's clients of the store, the engines and the other entries.
@@ -139,6 +149,10 @@
 	// Configs returns a client that asks the peer at an inner address for the operator's
 	// rows; nil means that no peer is asked.
 	Configs func(addr string) ConfigPeer
+	// Duties makes the calls of the duties; it may be nil if there are none.
+	Duties DutyClient
+	// Boot is the clock that counts suspensions; nil means that of the system.
+	Boot duty.BootClock
 }
 
 // Starter hands a job over to another entry.
@@ -168,7 +182,8 @@
 	en.bodyMemory.Max = se.MaxBodyBytes
 	en.configPeer, en.operator.view.Since = po.Configs, clock.Now()
 	en.ctx, en.stop = context.WithCancel(context.Background())
-	en.store = &relay.Store{Direct: po.Direct, Peers: en.peers, Clock: clock, Logger: lg}
+	en.usage = en.newUsageDuty()
+	en.store = &relay.Store{Direct: en.usage.observe(en, po.Direct), Peers: en.peers, Clock: clock, Logger: lg}
 	en.ledger = batch.Ledger{Store: en.store}
 	en.forwarder = &calls.Forwarder{
 		Sender: po.Sender, Streamer: po.Streamer, Clock: clock, Logger: lg, Meters: me, IntN: rand.IntN, Balancer: en.balancer, OnDeath: en.enqueueLoss,
@@ -179,6 +194,8 @@
 		Clock: clock, Logger: lg, Meters: me, Loop: en.loop, Departures: en.departures, Rates: en.rates,
 	}
 	en.owner.Init(en.ctx)
+	en.lease, en.dutyClient = en.newLease(po), po.Duties
+	en.connectUsage()
 	return en
 }
 
@@ -195,6 +212,10 @@
 	group.Go(func() { en.shareLosses(ctx) })
 	group.Go(func() { en.askForPermits(ctx) })
 	group.Go(func() { en.askForConfig(ctx) })
+	group.Go(func() { en.runUsage(ctx) })
+	if en.lease != nil {
+		group.Go(func() { en.lease.Run(ctx) })
+	}
 	for _, fe := range en.feeds() {
 		group.Go(func() { fe.Run(ctx) })
 	}
--- a/intake/stop.go
+++ b/intake/stop.go
@@ -38,6 +38,7 @@
 	endsAt := started.Add(en.settings.Grace - answerBefore)
 	en.endsAt.Store(&endsAt)
 	elapsed := func() time.Duration { return en.clock.Now().Sub(started) }
+	go en.releaseDuties(en.ctx)
 	for elapsed() < en.settings.Grace-releaseBefore {
 		if elapsed() >= minDrainTime && en.owner.Idle() {
 			break
@@ -47,6 +48,7 @@
 	call, cancel := context.WithTimeout(context.Background(), releaseBefore-stopBefore)
 	defer cancel()
 	en.owner.Release(call)
+	en.storeUsage(call)
 	if _, err := en.store.Commit(call, table.Tx{Drops: []table.ID{member.ID(en.settings.Node)}}); err != nil {
 		logs.Warn(en.logger, "cannot delete the row of this entry", "err", err)
 	}
