--- a/setup/node_test.go
+++ b/setup/node_test.go
@@ -91,7 +91,7 @@
 // dutyFields are the fields of a platform whose API has duties.
 func dutyFields(changes ...string) map[string]string {
 	fields := map[string]string{
-		"cloud_api": "", "cloud_api.address": "10.0.0.8:8383", "cloud_api.duties": "usage,autoscale", "cloud_api.duty_per_s": "50",
+		"cloud_api.address": "10.0.0.8:8383", "cloud_api.duties": "usage,autoscale", "cloud_api.duty_per_s": "50",
 		"bounds.lease_ttl_ms": "4000", "bounds.report_window_s": "6", "bounds.usage_late_s": "12",
 	}
 	for at := 0; at < len(changes); at += 2 {
@@ -112,7 +112,7 @@
 	require.True(t, en.Duties.Has(setup.DutyUsage) && en.Duties.Has(setup.DutyAutoscale))
 
 	en, err = setup.ReadNodeEntry(renderWith(t, "entry.toml.tmpl", map[string]string{
-		"cloud_api": "", "cloud_api.address": "10.0.0.8:8383", "cloud_api.duties": "",
+		"cloud_api.address": "10.0.0.8:8383", "cloud_api.duties": "",
 		"bounds.lease_ttl_ms": "", "bounds.report_window_s": "", "bounds.usage_late_s": "",
 	}))
 	require.NoError(t, err)
