platform, conf: bounds of scaling of a service

A service in the configuration may have autoscale with min, max and boot_s. It is decoded into conf.Service.Scale, whose zero value means that no targets are ordered.

--- a/conf/conf.go
+++ b/conf/conf.go
@@ -92,8 +92,23 @@
 	Slots int
 	// KVCapacity is the number of tokens that an engine keeps in its KV cache.
 	KVCapacity int
+	// Scale bounds the ordered number of targets; its zero value means that none are ordered.
+	Scale Scale
 }
 
+// Scale bounds the number of targets of a service in each failure domain.
+type Scale struct {
+	Min, Max int
+	// Boot is the time from an order until the ordered targets serve.
+	Boot time.Duration
+}
+
+// Enabled reports whether targets are ordered at all.
+func (sc Scale) Enabled() bool { return sc.Max > 0 }
+
+// Clamp returns the permitted number that is nearest to count.
+func (sc Scale) Clamp(count int) int { return min(max(count, sc.Min), sc.Max) }
+
 // Limits bounds what a caller may send. Sizes are in bytes.
 type Limits struct {
 	MaxHeader   int
