--- a/calls/balancer.go
+++ b/calls/balancer.go
@@ -55,6 +55,7 @@
 	services map[string][]fleet.Target
 	stats    map[string]*targetStats
 	software fleet.SoftwareHistory
+	demands  map[string]*demand
 }
 
 // onlySoftware returns the software version that served a service lately if there was just
--- a/calls/calls.go
+++ b/calls/calls.go
@@ -215,6 +215,7 @@
 		logs.Info(fo.Logger, "request answered", fields...)
 		return
 	}
+	fo.Balancer.refuse(fo.Clock.Now(), at.service, err)
 	fo.Meters.Count("requests-refused", string(err.Code), 1)
 	fields = append(fields, "service", at.service, "sent", at.sent, "verdict", err.Verdict, "code", err.Code, "text", err.Text)
 	logs.Warn(fo.Logger, "request not served", fields...)
--- a/calls/permit.go
+++ b/calls/permit.go
@@ -40,6 +40,8 @@
 	if at.permitAt.After(at.waitUntil) {
 		return false
 	}
+	fo.Balancer.wait(at.service, 1)
+	defer fo.Balancer.wait(at.service, -1)
 	select {
 	case <-ctx.Done():
 		return false
