intake: the holder of the duty orders targets

Each 200 ms an entry with the duty autoscale observes the load of the services that are scaled, over all entries. While it may call, it sends the due orders, each after another Permit and with a guarded context. The row of an entry holds its highest load since the last heartbeat (field 10), only where the duty and a service with autoscale are configured.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -121,6 +121,7 @@
 	// lease and dutyClient are nil if there are no duties.
 	lease      *duty.Runner
 	dutyClient DutyClient
+	scaler     scaler
 }
 
 // Ports holds an entry's clients of the store, the engines and the other entries.
@@ -204,6 +205,9 @@
 	group.Go(func() { en.askForPermits(ctx) })
 	if en.lease != nil {
 		group.Go(func() { en.lease.Run(ctx) })
+		if en.settings.Duties.Autoscale {
+			group.Go(func() { en.orderTargets(ctx, en.lease) })
+		}
 	}
 	for _, fe := range en.feeds() {
 		group.Go(func() { fe.Run(ctx) })
--- a/intake/renew.go
+++ b/intake/renew.go
@@ -47,7 +47,7 @@
 		if err != nil {
 			logs.Warn(en.logger, "limits of targets not announced", "err", err)
 		}
-		re.Limits = cbor.ByteString(limits)
+		re.Limits, re.Load = cbor.ByteString(limits), en.reportLoad(began)
 		err = en.writeMember(ctx, re)
 		if took := en.clock.Now().Sub(began); err == nil && took < maxNearWriteTime {
 			near = true // never reset: a later slow write is not due to the distance
--- a/member/member.go
+++ b/member/member.go
@@ -58,6 +58,9 @@
 	Region    string `cbor:"8,keyasint"`
 	// Limits are those of the targets whose permits the entry issues, encoded by quota.
 	Limits cbor.ByteString `cbor:"9,keyasint,omitempty"`
+	// Load is what runs and waits at the entry, by service, encoded by scale. It is present
+	// only where a service is scaled.
+	Load cbor.ByteString `cbor:"10,keyasint,omitempty"`
 }
 
 // Encode returns the stored value of a record.
--- a/scale/scale.go
+++ b/scale/scale.go
@@ -56,6 +56,20 @@
 	Domains []Domain
 }
 
+// WithTarget returns the load with another target that serves.
+func (lo Load) WithTarget(domain string, slots int) Load {
+	domains := slices.Clone(lo.Domains)
+	at := slices.IndexFunc(domains, func(do Domain) bool { return do.Name == domain })
+	if at < 0 {
+		at = len(domains)
+		domains = append(domains, Domain{Name: domain})
+	}
+	domains[at].Targets++
+	domains[at].Slots += slots
+	lo.Domains = domains
+	return lo
+}
+
 // Need returns the number of targets that a failure domain needs for the load (rule 1).
 func (lo Load) Need(do Domain) int {
 	slots := float64(lo.Service.Slots)
