platform: bound what is held for slow readers

Cause: a response kept no count while it was written, a caller that never read kept it for good, a slow caller of a stream stalled the reading from its target, and nothing bounded the bodies that one target holds.

The request bodies in flight to one target are bounded by limits.max-held-bytes.

--- a/boot/node.go
+++ b/boot/node.go
@@ -70,7 +70,7 @@
 		OperatorTable: platform.OperatorTable, TargetTable: platform.TargetTable,
 		Config: platform.DecodeConfig, Target: platform.DecodeTarget, Version: platform.DecodeVersion,
 	}, core.SystemClock{}, lg, me)
-	handler := &platform.Handler{Service: en, Logger: lg}
+	handler := &platform.Handler{Service: en, Logger: lg, Meters: me, Held: targets.Held()}
 	mux := http.NewServeMux()
 	mux.Handle(wireconnect.NewTableServiceHandler(relay.Service{Direct: store}, connect.WithReadMaxBytes(wire.MaxMessageBytes)))
 	mux.Handle(wireconnect.NewJobServiceHandler(en, connect.WithReadMaxBytes(wire.MaxMessageBytes)))
@@ -86,7 +86,7 @@
 	li := se.Limits
 	return platform.ResponseLimits{
 		Head: int64(li.MaxHead), Body: int64(li.MaxBody), Event: int64(li.MaxEvent), Text: int64(li.MaxText), Page: int64(li.MaxPage),
-		Buffered: int64(maxBodyShare * float64(se.Instance.Memory)),
+		Buffered: int64(maxBodyShare * float64(se.Instance.Memory)), Sent: int64(li.MaxHeldBytes),
 	}
 }
 
--- a/calls/calls.go
+++ b/calls/calls.go
@@ -102,6 +102,9 @@
 	// Resumes is the id of the caller's request that got the first event of the stream;
 	// empty if the caller did not say.
 	Resumes string
+	// CutOff ends the writing to the caller, so that a write in progress fails; nil if there is
+	// no such caller. It may be called until the request is served.
+	CutOff func()
 }
 
 // Response is the complete response of a target.
--- a/limit/budget.go
+++ b/limit/budget.go
@@ -44,3 +44,10 @@
 	defer bb.mutex.Unlock()
 	return bb.inUse
 }
+
+// force reserves bytes whether they fit or not.
+func (bb *ByteBudget) force(bytes int64) {
+	bb.mutex.Lock()
+	defer bb.mutex.Unlock()
+	bb.inUse += bytes
+}
--- a/setup/node.go
+++ b/setup/node.go
@@ -46,7 +46,8 @@
 }
 
 // NodeLimits holds the largest sizes that are read of responses of targets and of the
-// store, so that one that sends without end costs bounded memory. A missing limit has the
+// store, so that one that sends without end costs bounded memory, and of what a target
+// holds for this process. A missing limit has the
 // default that OPERATIONS.md lists.
 type NodeLimits struct {
 	// MaxHead is the largest head of a response.
@@ -58,6 +59,8 @@
 	MaxText  Size `toml:"max-text"`
 	// MaxPage is the largest response of the store.
 	MaxPage Size `toml:"max-page"`
+	// MaxHeldBytes is the most that the bodies of the requests in flight to one target take.
+	MaxHeldBytes Size `toml:"max-held-bytes"`
 }
 
 // The least permitted limits: below them, proper responses would be refused. A page of the
@@ -68,6 +71,8 @@
 	minMaxEvent Size = 4 << 10
 	minMaxText  Size = 64 << 10
 	minMaxPage  Size = 2 << 20
+	// A dozen requests in flight to a target have long prompts of some tens of KiB each.
+	minMaxHeldBytes Size = 1 << 20
 )
 
 func (no NodeLimits) check(ch *checker) {
@@ -80,6 +85,7 @@
 		{"limits.max-event", no.MaxEvent, minMaxEvent},
 		{"limits.max-text", no.MaxText, minMaxText},
 		{"limits.max-page", no.MaxPage, minMaxPage},
+		{"limits.max-held-bytes", no.MaxHeldBytes, minMaxHeldBytes},
 	} {
 		ch.require(li.got == 0 || li.got >= li.from, li.key, "must be at least "+li.from.String())
 	}
--- a/setup/node_test.go
+++ b/setup/node_test.go
@@ -55,6 +55,7 @@
 		{`grace = "8s"`, `grace = "0s"`, "timing.grace"},
 		{"[timing]", "[times]", "times"},
 		{"[timing]", "[limits]\nmax-head = \"1KiB\"\n[timing]", "limits.max-head: must be at least 4KiB"},
+		{"[timing]", "[limits]\nmax-held-bytes = \"512KiB\"\n[timing]", "limits.max-held-bytes: must be at least 1MiB"},
 		{"[timing]", "[limits]\nmax-page = \"1MiB\"\n[timing]", "limits.max-page: must be at least 2MiB"},
 	} {
 		_, err := setup.ReadNodeEntry(render(t, "entry.toml.tmpl", tc.old, tc.new))
