server: a send buffer of its own size for the node programs

Cause: Linux lets a blocked writer go on only after a third of the send buffer is free, and grows the buffer to 4 MiB. A steady reader of 200 KB/s made no progress that a write could see for 7.3 s, so the deadline of 5 s cut it off.

Change: Server.SendBuffer, 128 KiB for entries and guards. It also bounds what the system holds for a caller that does not read.

TestSendBuffer fails without the option.

--- a/boot/node.go
+++ b/boot/node.go
@@ -34,6 +34,9 @@
 	// take, and that those of responses may take while they are read. It is small because
 	// a job is also held decoded, encoded and in the text of a call.
 	maxBodyShare = 0.125
+	// sendBuffer is the size of the system's send buffer of a connection, in bytes. One that
+	// the system grows to 4 MiB hid the progress of a reader of 200 KB/s for 7 s.
+	sendBuffer = 128 << 10
 	// gcPercent keeps the heap small, because the cost of memory depends on its peak.
 	gcPercent = 50
 )
@@ -113,7 +116,7 @@
 func newDaemon(ru Runner, handlers map[string]http.Handler) (Daemon, error) {
 	da := Daemon{Runner: ru}
 	for addr, handler := range handlers {
-		se := &server.Server{Handler: handler}
+		se := &server.Server{Handler: handler, SendBuffer: sendBuffer}
 		if err := se.Listen(addr); err != nil {
 			return Daemon{}, err
 		}
--- a/server/server.go
+++ b/server/server.go
@@ -26,6 +26,9 @@
 	// Traffic counts the bytes of all connections.
 	Traffic     meter.Traffic
 	IdleTimeout time.Duration
+	// SendBuffer is the size of the system's buffer for what a connection sends, in bytes;
+	// zero leaves it to the system.
+	SendBuffer int
 
 	http     *http.Server
 	listener net.Listener
@@ -45,7 +48,7 @@
 // Listen binds the address. Requests are served only after Run is called. A handler that
 // depends on the address may be set in between.
 func (se *Server) Listen(addr string) error {
-	li, err := net.Listen("tcp", addr)
+	li, err := listen(addr, se.SendBuffer)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", addr)
 	}
