--- a/limit/held.go
+++ b/limit/held.go
@@ -36,7 +36,7 @@
 }
 
 // Hold counts bytes for a reader. cut ends the reader; it is called at most once, never
-// after End, and must not block.
+// after End, and must not block. A reader without it is never cut off.
 func (hb *HeldBytes) Hold(now time.Time, bytes int64, cut func()) *Holder {
 	ho := &Holder{owner: hb, bytes: bytes, progressAt: now, cut: cut}
 	hb.force(bytes)
@@ -66,7 +66,7 @@
 	defer hb.mutex.Unlock()
 	var longest *Holder
 	for ho := range hb.holders {
-		if ho.bytes > 0 && now.Sub(ho.progressAt) >= MinStall && (longest == nil || ho.progressAt.Before(longest.progressAt)) {
+		if ho.cut != nil && ho.bytes > 0 && now.Sub(ho.progressAt) >= MinStall && (longest == nil || ho.progressAt.Before(longest.progressAt)) {
 			longest = ho
 		}
 	}
