--- a/duty/call.go
+++ b/duty/call.go
@@ -13,7 +13,7 @@
 	// ErrBusy means that too many calls are made. The call has no effect.
 	ErrBusy = errors.New("too many calls")
 	// ErrThrottled is an ErrBusy for a call that this process did not send.
-	ErrThrottled = errors.Mark(errors.New("too many calls of this process"), ErrBusy)
+	ErrThrottled = errors.Wrap(ErrBusy, "limit of this process")
 	// ErrServer means that the API failed; the call may have taken effect.
 	ErrServer = errors.New("the API failed")
 	// ErrRejected means that the API does not accept the call. A repetition fails too.
--- a/duty/model_test.go
+++ b/duty/model_test.go
@@ -157,8 +157,7 @@
 	if fault := mo.call(pr); fault != "" {
 		return fault
 	}
-	_, holds := pr.lease.Holds()
-	if pr.endsAt > 0 && (mo.now >= pr.endsAt || !holds && pr.op == nil) || mo.now < faultyTime && mo.chance(700) {
+	if mo.ends(pr) {
 		mo.processes[instance], mo.restartAt[instance] = nil, mo.now+mo.upTo(2*time.Second)
 		return ""
 	}
@@ -171,6 +170,15 @@
 	return ""
 }
 
+// ends reports whether a process ends now, by a stop or a crash.
+func (mo *model) ends(pr *process) bool {
+	_, holds := pr.lease.Holds()
+	if pr.endsAt > 0 && (mo.now >= pr.endsAt || !holds && pr.op == nil) {
+		return true
+	}
+	return mo.now < faultyTime && mo.chance(700)
+}
+
 // draw draws the faults of a process.
 func (mo *model) draw(pr *process) {
 	switch mo.rand.IntN(600) {
@@ -225,24 +233,26 @@
 // proceed ends a call to the store whose time has come, or makes the next step.
 func (mo *model) proceed(pr *process) {
 	now := mo.clocks(pr.instance)
-	if pr.op == nil {
-		st := pr.lease.Next(now, Candidacy{Eligible: pr.endsAt == 0, Wait: time.Duration(pr.instance) * 700 * time.Millisecond})
-		if st.Kind == Wait {
-			return
+	if cu := pr.op; cu != nil {
+		if answered := cu.answerAt > 0 && mo.now >= cu.answerAt; answered || mo.now >= cu.end {
+			pr.op = nil
+			mo.finish(pr, cu, answered, now)
 		}
-		if st.Kind == Write && mo.mutant.onWrite != nil {
-			mo.mutant.onWrite(&pr.lease, &st.Row)
-			pr.lease.pending = st.Row
-		}
-		pr.op = mo.send(pr, st, now)
 		return
 	}
-	cu := pr.op
-	answered := cu.answerAt > 0 && mo.now >= cu.answerAt
-	if !answered && mo.now < cu.end {
+	st := pr.lease.Next(now, Candidacy{Eligible: pr.endsAt == 0, Wait: time.Duration(pr.instance) * 700 * time.Millisecond})
+	if st.Kind == Wait {
 		return
 	}
-	pr.op = nil
+	if st.Kind == Write && mo.mutant.onWrite != nil {
+		mo.mutant.onWrite(&pr.lease, &st.Row)
+		pr.lease.pending = st.Row
+	}
+	pr.op = mo.send(pr, st, now)
+}
+
+// finish tells the lease how a call to the store ended.
+func (mo *model) finish(pr *process, cu *op, answered bool, now Instant) {
 	switch {
 	case !answered && mo.mutant.guess && cu.step.Kind == Write:
 		pr.lease.Acknowledged(now.At, pr.lease.version+1)
