intake: tests start a node under the lock that its peers take

Entries that run already ask each other for the configuration while the cluster of a test still starts: a data race of TestCutOffCycle, seen once by a run of many packages and again in 6 runs of four tests.

--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -322,6 +322,9 @@
 	limits sync.Map
 	// software maps a target to the version of its software, as the registry lists it.
 	software sync.Map
+	// starting guards the entries and their ends while a node starts: entries that run
+	// already call each other.
+	starting sync.RWMutex
 	// relay is the way to the store through peers.
 	relay link
 	// silent holds the nodes that do not answer questions about the configuration.
@@ -447,6 +450,8 @@
 
 // entry returns the entry, or an error once it has ended.
 func (pe *peer) entry() (*intake.Entry, error) {
+	pe.cluster.starting.RLock()
+	defer pe.cluster.starting.RUnlock()
 	if !pe.cluster.runs(pe.at) {
 		return nil, errors.New("connection refused")
 	}
@@ -526,6 +531,8 @@
 		defer close(ended)
 		require.NoError(cl.t, en.Run())
 	}()
+	cl.starting.Lock()
+	defer cl.starting.Unlock()
 	if node < len(cl.entries) {
 		cl.entries[node], cl.clients[node], cl.links[node], cl.ended[node] = en, an, li, ended
 		return
