scale: reject a negative load of an entry

DecodeReport accepted negative numbers of requests, and two whose sum overflows; either hides the load of other entries in the sum of a service. It returns an error now.

--- a/scale/report.go
+++ b/scale/report.go
@@ -33,6 +33,13 @@
 		return nil, nil
 	}
 	var re Report
-	err := cbor.Unmarshal([]byte(raw), &re)
-	return re, errors.Wrap(err, "decode the load of an entry")
+	if err := cbor.Unmarshal([]byte(raw), &re); err != nil {
+		return nil, errors.Wrap(err, "decode the load of an entry")
+	}
+	for name, bu := range re {
+		if bu.InFlight < 0 || bu.Waiting < 0 || bu.Total() < 0 { // the sum of large numbers overflows
+			return nil, errors.Newf("the load of service %q is negative", name)
+		}
+	}
+	return re, nil
 }
