usage: no window is due before its end, however late

The end of a window beyond some 1.8e9 (5 s each) overflows, so that Due took windows in the far future as ended. It compares windows now.

--- a/usage/due.go
+++ b/usage/due.go
@@ -14,7 +14,8 @@
 // least settle ago.
 func Due(next uint64, now, settle, length time.Duration) []uint64 {
 	var due []uint64
-	for window := next; EndOf(window, length)+settle <= now && len(due) < maxDue; window++ {
+	ended := WindowAt(now-settle, length) // compared as a window: the end of a very late one overflows
+	for window := next; window < ended && len(due) < maxDue; window++ {
 		due = append(due, window)
 	}
 	return due
