conf: the keys of a workspace without a name are not valid

An empty name stands for no workspace. A key of an unnamed workspace read the jobs that belong to no workspace, its jobs were served to any valid key, and its priority applied to all requests without a workspace. Its keys are refused now; the list still makes keys necessary.

--- a/conf/workspace.go
+++ b/conf/workspace.go
@@ -25,11 +25,16 @@
 func (wo Workspace) GoString() string { return wo.Name }
 
 // WithWorkspaces returns the configuration with these workspaces. A key that occurs in
-// several of them belongs to the first one.
+// several of them belongs to the first one. The keys of a workspace without a name are not
+// valid: an empty name stands for no workspace, whose jobs each key may read.
 func (co *Config) WithWorkspaces(all []Workspace) *Config {
 	cp := *co
 	cp.workspaces, cp.workspaceByKey = make(map[string]Workspace, len(all)), make(map[string]Workspace, len(all))
 	for _, wo := range all {
+		if wo.Name == "" {
+			cp.workspaces[""] = Workspace{} // requests need a key all the same
+			continue
+		}
 		cp.workspaces[wo.Name] = wo
 		for _, key := range wo.Keys {
 			if _, found := cp.workspaceByKey[key]; key != "" && !found { // a request without a key has an empty one
