--- a/intake/usage_test.go
+++ b/intake/usage_test.go
@@ -127,7 +127,9 @@
 				call(live, "", false)
 			} else {
 				time.Sleep(1500 * time.Millisecond) // the window before has been reported
+				rs.mutex.Lock()
 				killed = rs.holder
+				rs.mutex.Unlock()
 				cl.entries[killed].Kill()
 			}
 			time.Sleep(time.Until(time.Unix(int64(window+1)*5, 0).Add(2500 * time.Millisecond)))
@@ -166,5 +168,7 @@
 		defer close(ended)
 		require.NoError(cl.t, en.Run())
 	}()
+	cl.starting.Lock()
+	defer cl.starting.Unlock()
 	cl.entries, cl.ended = append(cl.entries, en), append(cl.ended, ended)
 }
