usage: transactions keep to the store's 100 entries

Cause: deletions took up to 200 rows, and an entry's counts all windows that changed since the last write, so that old rows of a large fleet were never deleted and counts never stored after an outage of more than 100 windows. Change: at most 100 rows, the rest with the next transaction. TestTransactionsFitTheStore fails without it (more than 100 entries).

--- a/usage/counter.go
+++ b/usage/counter.go
@@ -17,6 +17,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -86,13 +87,14 @@
 	return true
 }
 
-// Changed returns a copy of the counts of the windows that changed since they were stored.
+// Changed returns a copy of the counts of the windows that changed since they were stored, as
+// many as fit one transaction, the oldest first.
 func (co *Counter) Changed() map[uint64]Counts {
 	co.mutex.Lock()
 	defer co.mutex.Unlock()
 	changed := map[uint64]Counts{}
-	for window, counts := range co.windows {
-		if counts.Total() != co.written[window] {
+	for _, window := range slices.Sorted(maps.Keys(co.windows)) {
+		if counts := co.windows[window]; counts.Total() != co.written[window] && len(changed) < maxTxRows {
 			changed[window] = maps.Clone(counts)
 		}
 	}
