--- a/calls/balancer.go
+++ b/calls/balancer.go
@@ -169,12 +169,15 @@
 	return lhs
 }
 
-// load returns the share of its slots that a target uses: the load that it reported,
-// corrected by the requests of this entry that have started and ended since.
+// load returns the share of its slots that a target uses.
 func (ba *Balancer) load(ta fleet.Target) float64 {
-	ts := ba.stats[ta.ID]
-	running := max(ts.reported-ts.inFlightAtReport+ts.inFlight, ts.inFlight)
-	return float64(running) / float64(max(ta.Slots, 1))
+	return float64(ba.stats[ta.ID].running()) / float64(max(ta.Slots, 1))
+}
+
+// running returns the load that a target reported, corrected by the requests of this entry
+// that have started and ended since.
+func (ts *targetStats) running() int {
+	return max(ts.reported-ts.inFlightAtReport+ts.inFlight, ts.inFlight)
 }
 
 // meanLatency returns the mean latency over the targets of a service, zero if unknown.
--- a/calls/load.go
+++ b/calls/load.go
@@ -88,7 +88,7 @@
 	sum := 0
 	for _, ta := range ba.services[service] {
 		if ts := ba.stats[ta.ID]; now.Sub(ts.lastUsed) < maxReportAge {
-			sum += max(ts.reported-ts.inFlightAtReport+ts.inFlight, ts.inFlight)
+			sum += ts.running()
 		}
 	}
 	return sum
