origin: streams are resumed on evidence, not on what a process has seen

Cause: a caller that resumes a stream whose origin no entry remembers went on at the only software version that the entry had seen. After all entries were killed that memory was empty, so an entry that started when the old version had just left took the new one for the only one: answered 200, text joined from both.

Change: the store has a row for each route, service and software version where resumable streams may begin; a stream begins there only after the row is written. While a route has several such places the origins of its streams are stored too, in batches. A take-up that no entry remembers is decided from rows read for it. Callers get unknown-origin with Retry-After while that may change, and origin-lost or origin-gone without one if it won't; both have not run.

The same decision, with rows, is in package origin.

--- a/boot/node.go
+++ b/boot/node.go
@@ -58,7 +58,7 @@
 	en := intake.New(intake.Settings{
 		Node: se.Name, Region: se.Place.Region, Domain: se.Place.FailureDomain, Inner: se.Listen.Inner, Grace: se.Timing.Grace.Std(),
 		LowCapacity: se.Instance.Cores < minJobCores, MaxBodyBytes: int64(maxBodyShare * float64(se.Instance.Memory)),
-		Duties: dutySettings(se),
+		Duties: dutySettings(se), FirstStart: se.Start.First,
 	}, intake.Ports{
 		Duties: platform.NewDuties(se.Duties.Address, se.Name).WithRate(se.Duties.CallsPerSecond),
 		Direct: store, Sender: targets, Streamer: targets, Engine: targets, Departures: departures, Rates: rates,
--- a/calls/balancer.go
+++ b/calls/balancer.go
@@ -33,6 +33,8 @@
 	// minRetryAfter and maxRetryAfter bound the retry-after time of a refusal.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// versionRetention bounds the memory of software versions that are gone.
+	versionRetention = 10 * time.Minute
 )
 
 // targetStats holds the load, latency and failures of one target, as learned from its
@@ -55,16 +57,59 @@
 	mutex    sync.Mutex
 	services map[string][]fleet.Target
 	stats    map[string]*targetStats
-	software fleet.SoftwareHistory
-	demands  map[string]*demand
+	// goneSince maps the software versions that served to when their last target that takes
+	// work was gone, zero while there is one. servedSince maps a service to when it had
+	// targets first.
+	goneSince   map[Origin]time.Time
+	servedSince map[string]time.Time
+	demands     map[string]*demand
 }
 
-// onlySoftware returns the software version that served a service lately if there was just
-// one.
-func (ba *Balancer) onlySoftware(service string) (software string, ok bool) {
+// goneFor returns for how long no target of a software version has taken work, zero if one
+// does. It is not known while the service has no targets at all.
+func (ba *Balancer) goneFor(now time.Time, origin Origin) (gone time.Duration, known bool) {
 	ba.mutex.Lock()
 	defer ba.mutex.Unlock()
-	return ba.software.Only(service)
+	since, found := ba.goneSince[origin]
+	switch {
+	case found && since.IsZero():
+		return 0, true
+	case found:
+		return now.Sub(since), true
+	case ba.servedSince[origin.Service].IsZero():
+		return 0, false
+	default:
+		return now.Sub(ba.servedSince[origin.Service]), true
+	}
+}
+
+// recordVersions records since when which software versions take no work. It keeps a version
+// for versionRetention.
+func (ba *Balancer) recordVersions(now time.Time) {
+	if ba.goneSince == nil {
+		ba.goneSince, ba.servedSince = map[Origin]time.Time{}, map[string]time.Time{}
+	}
+	serving := map[Origin]bool{}
+	for service, targets := range ba.services {
+		if ba.servedSince[service].IsZero() {
+			ba.servedSince[service] = now
+		}
+		for _, ta := range targets {
+			serving[Origin{service, ta.Software}] = true
+		}
+	}
+	for origin := range serving {
+		ba.goneSince[origin] = time.Time{}
+	}
+	for origin, since := range ba.goneSince {
+		switch {
+		case serving[origin]:
+		case since.IsZero():
+			ba.goneSince[origin] = now
+		case now.Sub(since) > versionRetention:
+			delete(ba.goneSince, origin)
+		}
+	}
 }
 
 // Update replaces the list of targets and returns the ids of those that are no
@@ -73,7 +118,6 @@
 	services, stats := map[string][]fleet.Target{}, map[string]*targetStats{}
 	ba.mutex.Lock()
 	defer ba.mutex.Unlock()
-	ba.software.Update(now, all)
 	for _, ta := range all {
 		ts := ba.stats[ta.ID]
 		if ts == nil {
@@ -90,17 +134,18 @@
 		}
 	}
 	ba.services, ba.stats = services, stats
+	ba.recordVersions(now)
 	return removed
 }
 
 // pickTarget returns the less loaded of two random targets of the best class that has
 // any, without those already tried (rule 1).
 //
-// A software version other than empty excludes the targets of other versions.
+// Accepts restricts the targets; nil accepts all.
 //
 // Permits returns whether a target limits its rate and the number of permits at hand.
 // Without a permit such a target is not chosen but returned as limited.
-func (ba *Balancer) pickTarget(now time.Time, service, software string, tried []string, permits func(fleet.Target) (bool, int), intN func(int) int) (
+func (ba *Balancer) pickTarget(now time.Time, service string, accepts func(fleet.Target) bool, tried []string, permits func(fleet.Target) (bool, int), intN func(int) int) (
 	ta fleet.Target, limited []fleet.Target, found bool,
 ) {
 	ba.mutex.Lock()
@@ -108,7 +153,7 @@
 	var classes [classCount][]fleet.Target
 	mean := ba.meanLatency(service)
 	for _, ta := range ba.services[service] {
-		if slices.Contains(tried, ta.ID) || (software != "" && ta.Software != software) {
+		if slices.Contains(tried, ta.ID) || (accepts != nil && !accepts(ta)) {
 			continue
 		}
 		cl := ba.class(now, ta, mean)
--- a/calls/calls.go
+++ b/calls/calls.go
@@ -39,8 +39,9 @@
 //     can take the request it waits for a permit, at most for its Patience; if none is
 //     expected by then, it is refused at once.
 //  12. A stream continues only at the software version that began it, also when its caller
-//     resumes it at another entry. If that version is not known and several served lately,
-//     the caller is refused, since no event of another version would fit.
+//     resumes it at another entry, since no event of another version would fit. If that
+//     version is not known the caller is refused: with a retry-after time while it may
+//     become known, without one if it won't, or if the version serves no longer.
 //  13. While plain requests are not served because all targets asked are full, a workspace
 //     with more requests in flight than its share is refused at once (limit.FairShare).
 package calls
@@ -154,7 +155,7 @@
 	Departures *fleet.Departures
 	// Rates holds the limits that targets announced; nil means none.
 	Rates *quota.Limits
-	// Origins is optional; without it the origin of a stream that a caller resumes is unknown.
+	// Origins is optional; without it no stream is resumed for its caller.
 	Origins Origins
 	// OnRun is optional; it is called once for each caller's request with a workspace that
 	// began to run, and must not block.
@@ -177,8 +178,9 @@
 	re      Request
 	service string
 	digest  uint64
-	// software is the only version of the targets' software that may be chosen; empty
-	// means any.
+	// accepts restricts the targets that may be chosen; nil means any. software is the
+	// version to which a stream is bound.
+	accepts  func(fleet.Target) bool
 	software string
 	// asked are the targets of all attempts, tried those that must not be chosen again.
 	asked    []string
@@ -289,7 +291,7 @@
 		return fleet.Target{}, false
 	}
 	now := fo.Clock.Now()
-	ta, limited, found := fo.Balancer.pickTarget(now, at.service, at.software, at.tried, func(ta fleet.Target) (bool, int) {
+	ta, limited, found := fo.Balancer.pickTarget(now, at.service, at.accepts, at.tried, func(ta fleet.Target) (bool, int) {
 		return fo.Rates.Permits(now, ta, at.re.Route.Priority)
 	}, fo.IntN)
 	if !found {
--- a/calls/origin.go
+++ b/calls/origin.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"bilberryshelf/conf"
 	"bilberryshelf/core"
+	"bilberryshelf/fleet"
 	"bilberryshelf/logs"
 )
 
@@ -16,13 +18,26 @@
 	Software string
 }
 
-// Origins holds the origins of streams for all entries. Record must not block for long;
-// Find returns found false if the origin is not known.
+// Origins holds the origins of streams for all entries.
 type Origins interface {
-	Record(id string, or Origin)
-	Find(ctx context.Context, id string) (or Origin, found bool)
+	// MayBegin reports whether a resumable stream may begin at a target, so that its origin
+	// can be told later.
+	MayBegin(ro conf.Route, ta fleet.Target) bool
+	// Record keeps the origin of a new stream. It must not block for long.
+	Record(ro conf.Route, id string, or Origin)
+	// Find returns the origin of a stream by the id of the request that began it, which is
+	// empty if the caller did not say. Its errors have the code unknown-origin and a
+	// retry-after time while the origin may become known, and origin-lost if not.
+	Find(ctx context.Context, ro conf.Route, id string) (Origin, *core.Error)
 }
 
+const (
+	// recordPatience is the part of the target latency for which a stream waits until it may
+	// begin at a target of a new software version, and recordInterval how often it looks.
+	recordPatience = 0.25
+	recordInterval = 10 * time.Millisecond
+)
+
 // findOrigin determines the software version that continues a stream which the caller
 // resumes (rule 12).
 func (st *stream) findOrigin(ctx context.Context) *core.Error {
@@ -30,23 +45,74 @@
 	if re.LastEventID == 0 || !repeatable(re.Route) {
 		return nil
 	}
-	if fo.Origins != nil && re.Resumes != "" {
-		if or, found := fo.Origins.Find(ctx, re.Resumes); found && routes(re.Route, or.Service) {
-			st.service, st.software = or.Service, or.Software
-			logs.Info(fo.Logger, "stream resumed by its caller", "id", re.ID, "resumes", re.Resumes, "after", re.LastEventID, "software", or.Software)
-			return nil
-		}
+	origin, err := Origin{}, core.Refuse(core.CodeOriginLost, "it is not known which software version began the stream")
+	if fo.Origins != nil {
+		origin, err = fo.Origins.Find(ctx, re.Route, re.Resumes)
+	}
+	if err == nil {
+		err = st.keepTo(origin)
+	}
+	if err != nil {
+		logs.Warn(fo.Logger, "stream of a caller not resumed", "id", re.ID, "resumes", re.Resumes, "after", re.LastEventID,
+			"route", re.Route.Name, "service", origin.Service, "software", origin.Software, "code", err.Code, "retry-after", err.RetryAfter)
+		fo.Meters.Count("streams-not-resumed", string(err.Code), 1)
+		return err
+	}
+	logs.Info(fo.Logger, "stream resumed by its caller", "id", re.ID, "resumes", re.Resumes, "after", re.LastEventID, "software", origin.Software)
+	return nil
+}
+
+// keepTo restricts a stream to the targets that can continue it. Its error is final if
+// there will be none.
+func (st *stream) keepTo(origin Origin) *core.Error {
+	fo := st.fo
+	if !routes(st.re.Route, origin.Service) {
+		return core.Refuse(core.CodeOriginGone, "route %s no longer uses the service that began the stream", st.re.Route.Name)
+	}
+	st.service = origin.Service
+	st.bind(origin.Software)
+	if gone, known := fo.Balancer.goneFor(fo.Clock.Now(), origin); known && gone >= fleet.RecoveryWindow {
+		return core.Refuse(core.CodeOriginGone, "software version %s, which began the stream, serves no longer", origin.Software)
+	} else if known && gone > 0 {
+		return core.Refuse(core.CodeFull, "no target of software version %s at present", origin.Software).WithRetryAfter(fleet.RecoveryWindow - gone + minRetryAfter)
+	}
+	return nil
+}
+
+// bind restricts the attempts to targets of a software version.
+func (at *attempts) bind(software string) {
+	at.software = software
+	at.accepts = func(ta fleet.Target) bool { return ta.Software == software }
+}
+
+// waitForRecord waits before the next search for a target of a stream that has not begun.
+// It returns false if no target was left out because no stream may begin there yet.
+func (st *stream) waitForRecord(ctx context.Context) bool {
+	if !st.unrecorded || st.fo.Clock.Now().Sub(st.lastEventAt) >= st.latencyShare(recordPatience) {
+		return false
+	}
+	st.unrecorded = false
+	select {
+	case <-ctx.Done():
+		return false
+	case <-st.fo.Clock.After(recordInterval):
+		return true
+	}
+}
+
+// requireRecord keeps a stream that begins from targets where none may begin yet.
+func (st *stream) requireRecord() {
+	fo, re := st.fo, st.re
+	if fo.Origins == nil || re.LastEventID > 0 || !repeatable(re.Route) {
+		return
 	}
-	if len(re.Route.Shares) == 1 {
-		if software, only := fo.Balancer.onlySoftware(st.service); only {
-			st.software = software
-			return nil
+	st.accepts = func(ta fleet.Target) bool {
+		if fo.Origins.MayBegin(re.Route, ta) {
+			return true
 		}
+		st.unrecorded = true
+		return false
 	}
-	logs.Warn(fo.Logger, "origin of a stream not known", "id", re.ID, "resumes", re.Resumes, "after", re.LastEventID, "service", st.service)
-	fo.Meters.Count("stream-origins-unknown", re.Route.Name, 1)
-	wait := fo.Balancer.retryAfter(fo.Clock.Now(), st.service, fo.IntN)
-	return core.Refuse(core.CodeUnknownOrigin, "it is not known which software version began the stream").WithRetryAfter(wait)
 }
 
 // routes reports whether a route sends requests to a service.
--- a/calls/stream.go
+++ b/calls/stream.go
@@ -55,6 +55,8 @@
 	// lastEventAt is the time of the last forwarded event, at first that of the request.
 	lastEventAt     time.Time
 	firstEventAfter time.Duration
+	// unrecorded is set if the last search left out a target where no stream may begin yet.
+	unrecorded bool
 }
 
 // Stream forwards a request whose response is a stream (rules 7 and 8). An error after
@@ -64,6 +66,7 @@
 	ctx, cancel := context.WithDeadline(ctx, re.Deadline)
 	defer cancel()
 	st := &stream{attempts: newAttempts(fo, re), sink: sink, lastEventID: re.LastEventID, lastEventAt: started}
+	st.requireRecord()
 	err := st.findOrigin(ctx)
 	if err == nil {
 		err = st.run(ctx, started)
@@ -79,7 +82,7 @@
 		ta, found := st.next(ctx)
 		switch {
 		case found:
-		case st.waitForPermit(ctx) || st.waitForTarget(ctx):
+		case st.waitForPermit(ctx) || st.waitForRecord(ctx) || st.waitForTarget(ctx):
 			continue
 		default:
 			return st.finalStreamError(ctx)
@@ -188,7 +191,7 @@
 func (st *stream) recordFirstEvent() {
 	st.fo.Meters.Observe("first-event", st.re.Route.Name, st.firstEventAfter)
 	if st.fo.Origins != nil && st.re.LastEventID == 0 && repeatable(st.re.Route) {
-		st.fo.Origins.Record(st.re.ID, Origin{Service: st.service, Software: st.software})
+		st.fo.Origins.Record(st.re.Route, st.re.ID, Origin{Service: st.service, Software: st.software})
 	}
 }
 
@@ -225,7 +228,7 @@
 	case !st.begun:
 		st.begun = true
 		if repeatable(st.re.Route) {
-			st.software = ta.Software
+			st.bind(ta.Software)
 		}
 		st.sink.Begin(rs)
 	case rs.Status != http.StatusOK:
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -172,6 +172,11 @@
 	return sum
 }
 
+// AllRoutes returns the routes in any order.
+func (co *Config) AllRoutes() []Route {
+	return slices.Concat(slices.Collect(maps.Values(co.routes))...)
+}
+
 // Newer returns the configuration with the higher version, or have if the versions
 // are equal. Either may be nil.
 func Newer(have, offered *Config) *Config {
--- a/core/error.go
+++ b/core/error.go
@@ -30,6 +30,8 @@
 	CodeDeadline         Code = "deadline"
 	CodeNoTarget         Code = "no-target"
 	CodeUnknownOrigin    Code = "unknown-origin"
+	CodeOriginLost       Code = "origin-lost"
+	CodeOriginGone       Code = "origin-gone"
 	CodeTargetDown       Code = "target-down"
 	CodeTargetLost       Code = "target-lost"
 	CodeAnswerCut        Code = "answer-cut"
--- a/fake/rows.go
+++ b/fake/rows.go
@@ -200,7 +200,7 @@
 	}
 	ro.mutex.Lock()
 	defer ro.mutex.Unlock()
-	page := table.Page{Version: ro.version}
+	page := table.Page{Version: ro.version, Now: time.Duration(time.Now().UnixNano())}
 	for id, row := range ro.rows {
 		if id.Table == ra.Table && id.Part == ra.Part && id.Key >= ra.From && (ra.To == "" || id.Key < ra.To) {
 			page.Rows = append(page.Rows, row)
--- a/intake/follow.go
+++ b/intake/follow.go
@@ -91,6 +91,7 @@
 		if next := conf.Newer(have, co); next != have {
 			en.config.Store(next)
 			en.owner.SetServices(next.Services())
+			en.places.setRoutes(en.clock.Now(), next.AllRoutes())
 			en.meters.Gauge("config-version", "", int64(next.Version))
 			logs.Info(en.logger, "configuration adopted", "version", next.Version, "routes", next.Routes(), "row", ro.Version)
 		}
@@ -187,6 +188,7 @@
 		all[at].Distance = lo.Distance(all[at].Domain)
 	}
 	en.departures.Mark(en.clock.Now(), all)
+	en.places.setTargets(en.clock.Now(), all)
 	en.forwarder.Update(all)
 	en.owner.Update(all)
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -55,6 +55,9 @@
 	MaxBodyBytes int64
 	// Duties are the calls that are made by one entry at a time.
 	Duties DutySettings
+	// FirstStart is set when the whole system starts for the first time, so that no stream
+	// can have begun before.
+	FirstStart bool
 }
 
 // Entry accepts requests and jobs and runs the jobs that it owns. Create it with
@@ -92,6 +95,7 @@
 	permitIssuer quota.Issuer
 	issuer       func(addr string) Issuer
 	origins      origins
+	places       *places
 	originClient func(addr string) OriginClient
 	configPeer   func(addr string) ConfigPeer
 	// publishing is held while the targets are published, so that an older list never
@@ -171,6 +175,7 @@
 		decoders: de, index: batch.NewIndex(clock, lg), balancer: &calls.Balancer{}, loop: core.NewLoop(), dial: po.Dial, starter: po.Starter, issuer: po.Issuer, originClient: po.Origins, failedIssuers: map[string]time.Time{}, issuerSince: map[string]time.Time{},
 		done: make(chan struct{}), malformed: map[string]bool{}, orphans: map[string]time.Time{}, peerClients: map[string]table.Client{},
 		losses: make(chan poison.Loss, maxQueuedLosses), departures: po.Departures, rates: po.Rates,
+		places: newPlaces(),
 	}
 	if en.departures == nil {
 		en.departures = &fleet.Departures{}
@@ -212,6 +217,8 @@
 	group.Go(func() { en.sweep(ctx) })
 	group.Go(func() { en.shareLosses(ctx) })
 	group.Go(func() { en.askForPermits(ctx) })
+	group.Go(func() { en.recordPlaces(ctx) })
+	group.Go(func() { en.storeOrigins(ctx) })
 	group.Go(func() { en.askForConfig(ctx) })
 	group.Go(func() { en.runUsage(ctx) })
 	if en.lease != nil {
--- a/intake/origin.go
+++ b/intake/origin.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"bilberryshelf/calls"
+	"bilberryshelf/conf"
+	"bilberryshelf/core"
+	"bilberryshelf/fleet"
 	"bilberryshelf/logs"
 	"bilberryshelf/member"
+	"bilberryshelf/origin"
 	"bilberryshelf/wire"
 )
 
@@ -18,16 +23,20 @@
 }
 
 const (
-	// originRetention is how long an origin is kept, far above the time for which callers
-	// resume a stream. maxOrigins bounds the memory: about 200 bytes each.
-	originRetention = 2 * time.Minute
-	maxOrigins      = 20000
+	// maxOrigins bounds the memory of origins: about 300 bytes each.
+	maxOrigins = 20000
 	// originReplicas is the number of other entries that keep an origin, since an entry's
 	// streams are resumed when it dies. A search asks originSearch of them, which is more
 	// than there are failure domains.
 	originReplicas = 2
 	originSearch   = 8
 	originTimeout  = 300 * time.Millisecond
+	// originReadTimeout bounds the reads of the store for one stream: two in a row, each
+	// possibly through another entry.
+	originReadTimeout = 800 * time.Millisecond
+	// originRetryAfter is when a caller returns whose stream's origin is not known yet: a
+	// process that starts needs about as long until it has read the store.
+	originRetryAfter = 300 * time.Millisecond
 )
 
 // origins holds the origins of streams by the id of the request that got the first event.
@@ -37,14 +46,16 @@
 	byID  map[string]keptOrigin
 	// ids are in the order in which they were kept.
 	ids []string
+	// unstored are the ids of streams of this entry that are not in the store, in order.
+	unstored []string
 }
 
 type keptOrigin struct {
-	calls.Origin
+	origin.Place
 	at time.Time
 }
 
-func (or *origins) keep(now time.Time, id string, origin calls.Origin) {
+func (or *origins) keep(now time.Time, id string, pa origin.Place, own bool) {
 	or.mutex.Lock()
 	defer or.mutex.Unlock()
 	if or.byID == nil {
@@ -52,19 +63,52 @@
 	}
 	if _, found := or.byID[id]; !found {
 		or.ids = append(or.ids, id)
+		if own {
+			or.unstored = append(or.unstored, id)
+		}
 	}
-	or.byID[id] = keptOrigin{origin, now}
-	for len(or.ids) > 0 && (len(or.ids) > maxOrigins || now.Sub(or.byID[or.ids[0]].at) > originRetention) {
+	or.byID[id] = keptOrigin{pa, now}
+	for len(or.ids) > 0 && (len(or.ids) > maxOrigins || now.Sub(or.byID[or.ids[0]].at) > origin.Retention) {
 		delete(or.byID, or.ids[0])
 		or.ids = or.ids[1:]
 	}
 }
 
-func (or *origins) find(id string) (calls.Origin, bool) {
+func (or *origins) find(id string) (origin.Place, bool) {
 	or.mutex.Lock()
 	defer or.mutex.Unlock()
 	kept, found := or.byID[id]
-	return kept.Origin, found
+	return kept.Place, found
+}
+
+// takeUnstored removes and returns up to count streams that wanted selects and that are not
+// in the store. Those that are no longer kept are removed.
+func (or *origins) takeUnstored(count int, wanted func(pa origin.Place) bool) map[string]keptOrigin {
+	or.mutex.Lock()
+	defer or.mutex.Unlock()
+	taken := map[string]keptOrigin{}
+	rest := or.unstored[:0]
+	for _, id := range or.unstored {
+		kept, found := or.byID[id]
+		switch {
+		case !found:
+		case len(taken) < count && wanted(kept.Place):
+			taken[id] = kept
+		default:
+			rest = append(rest, id)
+		}
+	}
+	or.unstored = rest
+	return taken
+}
+
+// putBack returns streams whose origins could not be stored.
+func (or *origins) putBack(taken map[string]keptOrigin) {
+	or.mutex.Lock()
+	defer or.mutex.Unlock()
+	for id := range taken {
+		or.unstored = append(or.unstored, id)
+	}
 }
 
 // replicas returns the first entries of those that keep the origin of a stream.
@@ -75,14 +119,19 @@
 	return all[:min(count, len(all))]
 }
 
-// Record keeps the origin of a stream here and sends it to other entries.
-func (en *Entry) Record(id string, origin calls.Origin) {
-	en.origins.keep(en.clock.Now(), id, origin)
+// Record keeps the origin of a stream here, sends it to other entries, and has it stored
+// while streams of its route begin at several places.
+func (en *Entry) Record(ro conf.Route, id string, or calls.Origin) {
+	pa := origin.Place{Route: ro.Name, Service: or.Service, Software: or.Software}
+	en.origins.keep(en.clock.Now(), id, pa, true)
+	if en.places.several(ro.Name) {
+		wake(en.places.unstored)
+	}
 	for _, re := range en.replicas(id, originReplicas) {
 		go func() {
 			call, cancel := context.WithTimeout(en.ctx, originTimeout)
 			defer cancel()
-			req := &wire.RecordOriginRequest{Request: id, Service: origin.Service, Software: origin.Software}
+			req := &wire.RecordOriginRequest{Request: id, Service: or.Service, Software: or.Software}
 			if _, err := en.originClient(re.Addr).RecordOrigin(call, req); err != nil && en.ctx.Err() == nil {
 				en.meters.Count("origins-not-shared", re.Name, 1)
 				logs.Info(en.logger, "origin of a stream not shared", "id", id, "entry", re.Name, "err", err)
@@ -92,9 +141,45 @@
 }
 
 // Find returns the origin of a stream that any entry began.
-func (en *Entry) Find(ctx context.Context, id string) (calls.Origin, bool) {
-	if origin, found := en.origins.find(id); found {
-		return origin, true
+func (en *Entry) Find(ctx context.Context, ro conf.Route, id string) (calls.Origin, *core.Error) {
+	ev := en.originEvidence(ctx, ro, id)
+	pa, certainty := origin.Decide(ev)
+	logs.Info(en.logger, "origin of a stream", "id", id, "route", ro.Name, "certainty", certainty, "service", pa.Service, "software", pa.Software,
+		"remembered", ev.Remembered != nil, "silent", ev.Silent, "places", len(ev.Places), "complete", ev.Complete, "read", ev.Read, "origin-read", ev.OriginRead)
+	switch certainty {
+	case origin.Known:
+		return calls.Origin{Service: pa.Service, Software: pa.Software}, nil
+	case origin.Lost:
+		return calls.Origin{}, core.Refuse(core.CodeOriginLost, "it is not known which software version began the stream, and several served")
+	default:
+		wait := originRetryAfter + rand.N(originRetryAfter)
+		return calls.Origin{}, core.Refuse(core.CodeUnknownOrigin, "it is not known yet which software version began the stream").WithRetryAfter(wait)
+	}
+}
+
+// originEvidence asks the other entries and the store about a stream at the same time.
+func (en *Entry) originEvidence(ctx context.Context, ro conf.Route, id string) origin.Evidence {
+	if pa, found := en.origins.find(id); found {
+		return origin.Evidence{Remembered: &pa}
+	}
+	ctx, cancel := context.WithTimeout(ctx, originReadTimeout)
+	defer cancel()
+	stored := make(chan origin.Evidence, 1)
+	go func() { stored <- en.readOrigin(ctx, ro, id) }()
+	pa, silent := en.askForOrigin(ctx, id)
+	if pa != nil {
+		return origin.Evidence{Remembered: pa}
+	}
+	ev := <-stored
+	ev.Silent = silent
+	return ev
+}
+
+// askForOrigin asks other entries about a stream. It returns nil and the number of those
+// that did not answer if none knows it.
+func (en *Entry) askForOrigin(ctx context.Context, id string) (found *origin.Place, silent int) {
+	if id == "" {
+		return nil, 0
 	}
 	call, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
@@ -110,21 +195,29 @@
 		}()
 	}
 	for range asked {
-		if res := <-answers; res.GetFound() {
-			return calls.Origin{Service: res.GetService(), Software: res.GetSoftware()}, true
+		switch res := <-answers; {
+		case res == nil:
+			silent++
+		case res.GetFound():
+			return &origin.Place{Service: res.GetService(), Software: res.GetSoftware()}, 0
 		}
 	}
-	return calls.Origin{}, false
+	return nil, silent
 }
 
 // RecordOrigin keeps the origin of a stream for another entry.
 func (en *Entry) RecordOrigin(_ context.Context, req *wire.RecordOriginRequest) (*wire.RecordOriginResponse, error) {
-	en.origins.keep(en.clock.Now(), req.GetRequest(), calls.Origin{Service: req.GetService(), Software: req.GetSoftware()})
+	en.origins.keep(en.clock.Now(), req.GetRequest(), origin.Place{Service: req.GetService(), Software: req.GetSoftware()}, false)
 	return &wire.RecordOriginResponse{}, nil
 }
 
 // FindOrigin tells another entry the origin of a stream, if it is known here.
 func (en *Entry) FindOrigin(_ context.Context, req *wire.FindOriginRequest) (*wire.FindOriginResponse, error) {
-	origin, found := en.origins.find(req.GetRequest())
-	return &wire.FindOriginResponse{Found: found, Service: origin.Service, Software: origin.Software}, nil
+	pa, found := en.origins.find(req.GetRequest())
+	return &wire.FindOriginResponse{Found: found, Service: pa.Service, Software: pa.Software}, nil
+}
+
+// MayBegin reports whether streams may begin at a target: its place has a row.
+func (en *Entry) MayBegin(ro conf.Route, ta fleet.Target) bool {
+	return en.places.has(origin.Place{Route: ro.Name, Service: ta.Service, Software: ta.Software})
 }
--- a/intake/sweep.go
+++ b/intake/sweep.go
@@ -11,7 +11,8 @@
 const sweepInterval = 200 * time.Millisecond
 
 // sweep periodically removes targets that did not return after an outage of the
-// registry, adopts orphaned jobs, and deletes expired jobs and losses.
+// registry, adopts orphaned jobs, and deletes expired jobs, losses and origins of
+// streams.
 func (en *Entry) sweep(ctx context.Context) {
 	for {
 		select {
@@ -33,5 +34,6 @@
 		en.adoptOrphans(ctx, heads)
 		en.deleteExpiredJob(ctx, heads)
 		en.deleteExpiredLosses(ctx)
+		en.cleanOrigins(ctx)
 	}
 }
--- a/setup/node.go
+++ b/setup/node.go
@@ -12,6 +12,13 @@
 	Timing   NodeTiming `toml:"timing"`
 	Limits   NodeLimits `toml:"limits"`
 	Duties   NodeDuties `toml:"duties"`
+	Start    NodeStart  `toml:"start"`
+}
+
+// NodeStart tells how a process starts.
+type NodeStart struct {
+	// First is set when the whole system starts for the first time.
+	First bool `toml:"first"`
 }
 
 // NodeListen holds the addresses on which a process serves requests. A guard serves only
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -220,6 +220,8 @@
 metrics = "%s"
 [store]
 address = "%s"
+[start]
+first = true
 ` + commonSettings
 
 const guardSettings = `name = "%s"
--- a/table/table.go
+++ b/table/table.go
@@ -98,7 +98,7 @@
 }
 
 // ListAll reads all pages of a range. The version of the result is that of the first
-// page, from which a watch must start.
+// page, from which a watch must start, and its clock that of the last.
 func ListAll(ctx context.Context, cl Client, ra Range) (Page, error) {
 	var all Page
 	for {
@@ -110,7 +110,7 @@
 			// A watch from this version reports changes between the pages.
 			all.Version = page.Version
 		}
-		all.Rows = append(all.Rows, page.Rows...)
+		all.Rows, all.Now = append(all.Rows, page.Rows...), page.Now
 		if !page.More || len(page.Rows) == 0 {
 			return all, nil
 		}
