fleet: no stream or text continues on a list of targets from before a pause

Nothing but the registry tells, and the entry's list was of before the freeze. Items of a job had the same fault.

Change: after a pause of the process, or a suspension of its machine, a stream or a text that has begun continues only once the registry has answered two calls, for 3 s at most. The first response may have been sent before the pause. What begins is not held back.

Measured: TestContinuedWithOutdatedTargets fails without the check.

Ruled out: a bound on the age of the list in any case, since it would stop all resumptions during an outage of the store; the incarnation in the request, since a target may keep its id, and the start time is not on the wire of requests.

--- a/calls/calls.go
+++ b/calls/calls.go
@@ -42,6 +42,8 @@
 //     resumes it at another entry, since no event of another version would fit. If that
 //     version is not known the caller is refused: with a retry-after time while it may
 //     become known, without one if it won't, or if the version serves no longer.
+//     After a pause of this process no stream continues until the list of targets is
+//     current again: a target may have started again under its id with other software.
 //  13. While plain requests are not served because all targets asked are full, a workspace
 //     with more requests in flight than its share is refused at once (limit.FairShare).
 package calls
@@ -79,6 +81,8 @@
 	// permitPatience is the part of the target latency for which a request waits for a
 	// permit.
 	permitPatience = 0.25
+	// outdatedRetryAfter is when the caller of a stream returns after a pause of this process.
+	outdatedRetryAfter = 300 * time.Millisecond
 	// claimInterval is how often a waiting request renews its claim of a permit.
 	claimInterval = 100 * time.Millisecond
 )
@@ -153,6 +157,9 @@
 	OnDeath func(lo poison.Loss)
 	// Departures holds the targets that announced that they leave; nil means none.
 	Departures *fleet.Departures
+	// Freshness tells whether the targets may be outdated after a pause of this process; nil
+	// means never.
+	Freshness *fleet.Freshness
 	// Rates holds the limits that targets announced; nil means none.
 	Rates *quota.Limits
 	// Origins is optional; without it no stream is resumed for its caller.
@@ -346,6 +353,9 @@
 func (fo *Forwarder) stream(ctx context.Context, ta fleet.Target, re Request, after int,
 	begin func(rs Response) error, event func(id int, raw []byte) error,
 ) error {
+	if after > 0 && fo.Freshness.Outdated() {
+		return core.Refuse(core.CodeOutdated, "the list of targets is outdated after a pause of this process").WithRetryAfter(outdatedRetryAfter)
+	}
 	if err := fo.checkSend(ta, re); err != nil {
 		return err
 	}
@@ -390,7 +400,7 @@
 	if ou.err.Verdict == core.NotRun {
 		at.sent--
 		switch ou.err.Code {
-		case core.CodeDraining: // a target that leaves was not asked
+		case core.CodeDraining, core.CodeOutdated: // the target was not asked
 		case core.CodeTargetLimit: // nor was this one, and it may be chosen again
 			at.tried = slices.DeleteFunc(at.tried, func(id string) bool { return id == ou.target.ID })
 		default:
--- a/calls/stream.go
+++ b/calls/stream.go
@@ -95,6 +95,12 @@
 		if callerDisconnected(err) {
 			return err
 		}
+		if err.Code == core.CodeOutdated {
+			if st.waitForTarget(ctx) {
+				continue
+			}
+			return err
+		}
 		if st.begun && repeatable(st.re.Route) {
 			logs.Info(st.fo.Logger, "stream resumed elsewhere", "id", st.re.ID, "from", ta.ID, "software", ta.Software, "after", st.lastEventID,
 				"silent", st.fo.Clock.Now().Sub(st.lastEventAt), "code", err.Code, "text", err.Text)
--- a/core/error.go
+++ b/core/error.go
@@ -32,6 +32,7 @@
 	CodeUnknownOrigin    Code = "unknown-origin"
 	CodeOriginLost       Code = "origin-lost"
 	CodeOriginGone       Code = "origin-gone"
+	CodeOutdated         Code = "outdated"
 	CodeTargetDown       Code = "target-down"
 	CodeTargetLost       Code = "target-lost"
 	CodeAnswerCut        Code = "answer-cut"
--- a/duty/runner.go
+++ b/duty/runner.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"bilberryshelf/core"
+	"bilberryshelf/fleet"
 	"bilberryshelf/logs"
 	"bilberryshelf/meter"
 	"bilberryshelf/table"
@@ -25,9 +26,7 @@
 }
 
 // BootClock returns the time since the start of the machine, suspensions included.
-type BootClock interface {
-	SinceBoot() time.Duration
-}
+type BootClock = fleet.BootClock
 
 // SystemBootClock is the clock of the operating system.
 type SystemBootClock struct{}
--- a/intake/duties.go
+++ b/intake/duties.go
@@ -39,13 +39,9 @@
 	if !en.settings.Duties.any() || po.Duties == nil {
 		return nil
 	}
-	boot := po.Boot
-	if boot == nil {
-		boot = duty.SystemBootClock{}
-	}
 	return &duty.Runner{
 		Lease: duty.Lease{Name: en.name, Node: en.settings.Duties.Instance, TTL: en.settings.Duties.Lease},
-		Store: en.store, Clock: en.clock, Boot: boot, Candidacy: en.candidacy, Logger: en.logger, Meters: en.meters,
+		Store: en.store, Clock: en.clock, Boot: en.freshness.Boot, Candidacy: en.candidacy, Logger: en.logger, Meters: en.meters,
 	}
 }
 
--- a/intake/follow.go
+++ b/intake/follow.go
@@ -37,6 +37,7 @@
 	heads.Parts, heads.Throttle, heads.Confirmed = batch.Parts(), headThrottle, en.index.Confirm
 	targets := feed(en.decoders.TargetTable, en.resetTargets, en.applyTargets)
 	targets.Throttle = targetThrottle
+	targets.Confirmed = func(time.Time) { en.freshness.Confirm() }
 	targets.Lost, targets.Recovered = en.registryLost, en.registryRecovered
 	members := feed(member.Table, en.applyMembers, en.applyMembers)
 	members.Throttle = memberThrottle
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -90,6 +90,7 @@
 	done   chan struct{}
 
 	departures *fleet.Departures
+	freshness  *fleet.Freshness
 	rates      *quota.Limits
 	// permitIssuer issues the permits of the targets that this entry is responsible for.
 	permitIssuer quota.Issuer
@@ -187,17 +188,21 @@
 	en.rates.OnChange, en.rates.OnMalformed, en.rates.OnTake = en.limitChanged, en.limitMalformed, en.permitTaken
 	en.bodyMemory.Max = se.MaxBodyBytes
 	en.configPeer, en.operator.view.Since = po.Configs, clock.Now()
+	en.freshness = &fleet.Freshness{Boot: po.Boot}
+	if po.Boot == nil {
+		en.freshness.Boot = duty.SystemBootClock{}
+	}
 	en.ctx, en.stop = context.WithCancel(context.Background())
 	en.usage = en.newUsageDuty()
 	en.store = &relay.Store{Direct: en.usage.observe(en, po.Direct), Peers: en.peers, Clock: clock, Logger: lg}
 	en.ledger = batch.Ledger{Store: en.store}
 	en.forwarder = &calls.Forwarder{
 		Sender: po.Sender, Streamer: po.Streamer, Clock: clock, Logger: lg, Meters: me, IntN: rand.IntN, Balancer: en.balancer, OnDeath: en.enqueueLoss,
-		Departures: en.departures, Rates: en.rates, Origins: en,
+		Departures: en.departures, Freshness: en.freshness, Rates: en.rates, Origins: en,
 	}
 	en.owner = &runs.Owner{
 		Ledger: en.ledger, Index: en.index, Engine: po.Engine, Scorer: en,
-		Clock: clock, Logger: lg, Meters: me, Loop: en.loop, Departures: en.departures, Rates: en.rates,
+		Clock: clock, Logger: lg, Meters: me, Loop: en.loop, Departures: en.departures, Freshness: en.freshness, Rates: en.rates,
 	}
 	en.owner.Init(en.ctx)
 	en.lease, en.dutyClient = en.newLease(po), po.Duties
--- a/intake/rejoin_test.go
+++ b/intake/rejoin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bilberryshelf/calls"
 	"bilberryshelf/core"
 	"bilberryshelf/origin"
 	"bilberryshelf/table"
@@ -264,3 +266,43 @@
 		require.Zero(t, stored())
 	})
 }
+
+// A process that wakes up from a suspension believes in its old list of targets. It continued
+// streams and texts at targets that had started again under their ids with other software.
+func TestContinuedWithOutdatedTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newMixedCluster(t, 1)
+		defer cl.stop()
+		cl.setSoftware("v1", "desk1", "desk2")
+		time.Sleep(time.Second)
+		jo := job("j1", 5)
+		require.Nil(t, cl.submit(0, jo))
+		ca := &caller{cluster: cl}
+		en := cl.entries[0]
+		begun := time.Now()
+		ca.gone = func() bool { return time.Since(begun) > 400*time.Millisecond } // the connection breaks
+		route, _, failed := en.FindRoute("h", "/chat/x")
+		require.Nil(t, failed)
+		re := calls.Request{ID: "s", Route: route, Header: http.Header{}, Deadline: time.Now().Add(20 * time.Second)}
+		require.NotNil(t, en.Stream(context.Background(), re, ca))
+
+		cl.links[0].refuseTable(targetTable) // the responses to its watches are old
+		cl.boot.suspended.Add(int64(5 * time.Second))
+		cl.software.Store("desk1", "v2")
+		cl.software.Store("desk2", "v2")
+		ca.gone = func() bool { return false }
+		re.ID, re.Resumes, re.LastEventID = "again", "s", ca.last
+		failed = en.Stream(context.Background(), re, ca)
+		require.Equal(t, core.CodeOutdated, failed.Code)
+		require.Positive(t, failed.RetryAfter)
+
+		cl.links[0].refuseTable("")
+		cl.put(targetTable, "desk1")
+		cl.put(targetTable, "desk2")
+		time.Sleep(3 * time.Second)
+		require.Equal(t, core.CodeOriginGone, en.Stream(context.Background(), re, ca).Code)
+		time.Sleep(20 * time.Second)
+		cl.requireComplete(0, jo)
+		cl.requireOneVersion(jo)
+	})
+}
--- a/intake/sweep.go
+++ b/intake/sweep.go
@@ -20,6 +20,7 @@
 			return
 		case <-en.clock.After(sweepInterval):
 		}
+		en.freshness.Tick()
 		en.mutex.Lock()
 		removed := en.fleet.Sweep(en.clock.Now())
 		en.mutex.Unlock()
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -49,6 +49,8 @@
 	Refused Ending = "refused"
 	// Limited: the engine limits its rate and there was no permit; it was not asked.
 	Limited Ending = "limited"
+	// Outdated: the list of engines is outdated after a pause; the engine was not asked.
+	Outdated Ending = "outdated"
 	// Misdirected: the address belongs to another target now.
 	Misdirected Ending = "moved"
 	// Failed: the engine ran the item and answered with an error.
@@ -89,6 +91,9 @@
 	Logger log.Logger
 	Meters *meter.Set
 	Loop   *core.Loop
+	// Freshness tells whether the engines may be outdated after a pause of this process; nil
+	// means never.
+	Freshness *fleet.Freshness
 	// Departures holds the targets that announced that they leave; nil means none.
 	Departures *fleet.Departures
 	// Rates holds the limits that targets announced; nil means none.
@@ -126,7 +131,10 @@
 	retryDelay = 100 * time.Millisecond
 	// refusedBackoff is how long an engine gets no items after a refusal. It doubles
 	// with each consecutive refusal up to maxRefusedBackoff. A load takes 0.9 s.
-	refusedBackoff    = 60 * time.Millisecond
+	refusedBackoff = 60 * time.Millisecond
+	// outdatedDelay is how long an item with a text waits while the list of engines is
+	// outdated.
+	outdatedDelay     = 100 * time.Millisecond
 	maxRefusedBackoff = 250 * time.Millisecond
 	// maxLoadTime is how long an engine counts as loading if the end of the load is
 	// not reported.
--- a/runs/step.go
+++ b/runs/step.go
@@ -201,6 +201,9 @@
 	if ow.Departures.Departing(ta) {
 		return Outcome{Ending: Refused, Detail: "the target is leaving"}
 	}
+	if rq.After > 0 && ow.Freshness.Outdated() { // the engine may have started again with other software
+		return Outcome{Ending: Outdated, Detail: "the list of engines is outdated after a pause"}
+	}
 	if !ow.Rates.Take(ow.Clock.Now(), ta, priority) {
 		return Outcome{Ending: Limited, Detail: "no permit"}
 	}
@@ -255,6 +258,8 @@
 		if it.failures >= max(jo.route.Attempts, 1) {
 			ow.finish(jo, it, batch.Errored, "", out.Detail)
 		}
+	case out.Ending == Outdated:
+		it.notBefore = now.Add(outdatedDelay)
 	case out.Ending == Unservable:
 		ow.finish(jo, it, batch.Errored, "", out.Detail)
 	case out.Ending == Complete: // without events, or with some of weights older than permitted
@@ -267,7 +272,7 @@
 // recordOutcome updates the backoff of the engine after a run.
 func (ow *Owner) recordOutcome(now time.Time, en *engine, ru *run, out Outcome, events int) {
 	switch {
-	case ru.superseded || ru.job.dropped || out.Ending == Limited:
+	case ru.superseded || ru.job.dropped || out.Ending == Limited || out.Ending == Outdated:
 		return
 	case out.Ending == Complete:
 		en.interruptions, en.refusals = 0, 0
