intake: tests of limits and condemned requests after the loss of all entries

Both were looked at as further state that begins empty at a process. They pass: limits and losses are read from rows, those of the dead entries included.

--- a/intake/losses_test.go
+++ b/intake/losses_test.go
@@ -43,6 +43,14 @@
 		for node := range cl.entries {
 			require.Equal(t, core.CodePoison, send(node, "again").Code)
 		}
+		cl.kill(0, 1, 2)
+		for node := range cl.entries {
+			cl.start(node)
+		}
+		time.Sleep(100 * time.Millisecond)
+		for node := range cl.entries {
+			require.Equal(t, core.CodePoison, send(node, "after").Code, "known from the rows")
+		}
 		time.Sleep(poison.DefaultTTL + time.Minute)
 		page, err := cl.rows.List(context.Background(), table.Range{Table: poison.Table})
 		require.NoError(t, err)
--- a/intake/quota_test.go
+++ b/intake/quota_test.go
@@ -215,6 +215,25 @@
 	})
 }
 
+// After all entries were killed and started again, nobody remembers a limit but the rows of
+// the dead.
+func TestLimitsAfterAllEntriesDied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, len(everyNode))
+		defer cl.stop()
+		cl.limits.Store("desk1", quota.Limit(2))
+		cl.limits.Store("desk2", quota.Limit(2))
+		cl.offer("a", 100*time.Millisecond, 5*time.Second)
+		cl.restartAll()
+		time.Sleep(100 * time.Millisecond)
+		from := time.Now()
+		cl.offer("b", 20*time.Millisecond, 8*time.Second)
+		for _, id := range []string{"desk1", "desk2"} {
+			require.LessOrEqual(t, cl.busiest(id, from), mostAllowed(2), id)
+		}
+	})
+}
+
 // Scoring calls that waited for a permit were sent up to ten seconds after their job had been
 // ended. The platform permits three.
 func TestScoringCallsOutliveTheirJob(t *testing.T) {
