intake: orphans are adopted together, stored texts read together

Cause: after the loss of all entries one entry adopts several jobs, each by some calls to the store, one job after the other.

Change: jobs whose adoption is due are adopted at the same time; the two parts with stored texts of a job are read at the same time.

--- a/intake/adopt.go
+++ b/intake/adopt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"bilberryshelf/batch"
@@ -27,6 +28,7 @@
 		return
 	}
 	now := en.clock.Now()
+	var adoptions sync.WaitGroup // each reads its job from the store, perhaps in another region
 	for job, vh := range heads {
 		if !vh.Head.Open() || en.index.KnownFor(job) > maxAdoptAge || en.owner.Owns(job) {
 			delete(en.orphans, job)
@@ -44,9 +46,10 @@
 		en.orphans[job] = since
 		if now.Sub(since) >= delay {
 			delete(en.orphans, job)
-			en.adopt(ctx, job, vh)
+			adoptions.Go(func() { en.adopt(ctx, job, vh) })
 		}
 	}
+	adoptions.Wait()
 }
 
 // adoptDelay returns how long after an orphan was found this entry adopts it.
--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -251,6 +251,8 @@
 	err   error
 	// refused is a table whose reads are refused, empty for none.
 	refused string
+	// latency is the time that each call takes.
+	latency time.Duration
 	// hidden are the keys of rows of targets that lists leave out.
 	hidden map[string]bool
 }
@@ -274,6 +276,13 @@
 }
 
 func (li *link) check(ctx context.Context, name string) error {
+	if li.latency > 0 {
+		select {
+		case <-time.After(li.latency):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 	li.mutex.Lock()
 	cut, err, refused := li.cut, li.err, name != "" && name == li.refused
 	li.mutex.Unlock()
--- a/runs/lifecycle.go
+++ b/runs/lifecycle.go
@@ -54,10 +54,10 @@
 	for _, it := range jo.items {
 		wanted[it.item.ID] = it.state != done
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(ow.ctx, partialsTimeout)
-		defer cancel()
-		for _, from := range []string{jo.partialsPart(), jo.body.ID} {
+	for _, from := range []string{jo.partialsPart(), jo.body.ID} {
+		go func() {
+			ctx, cancel := context.WithTimeout(ow.ctx, partialsTimeout)
+			defer cancel()
 			stored, err := ow.Ledger.Partials(ctx, from, jo.body.Step, func(id string) bool { return wanted[id] })
 			if err != nil {
 				logs.Warn(ow.Logger, "partial texts not read, items start from the beginning", "id", jo.body.ID, "from", from, "err", err)
@@ -68,8 +68,8 @@
 					ow.resumeItems(jo)
 				}
 			})
-		}
-	}()
+		}()
+	}
 }
 
 // continuable returns a function that reports whether an engine of a software version
