--- a/calls/stream.go
+++ b/calls/stream.go
@@ -92,20 +92,20 @@
 			return nil
 		}
 		st.accept(outcome{target: ta, err: err})
-		if callerDisconnected(err) {
+		if callerDisconnected(err) || (err.Code == core.CodeOutdated && !st.waitForTarget(ctx)) {
 			return err
 		}
-		if err.Code == core.CodeOutdated {
-			if st.waitForTarget(ctx) {
-				continue
-			}
-			return err
-		}
-		if st.begun && repeatable(st.re.Route) {
-			logs.Info(st.fo.Logger, "stream resumed elsewhere", "id", st.re.ID, "from", ta.ID, "software", ta.Software, "after", st.lastEventID,
-				"silent", st.fo.Clock.Now().Sub(st.lastEventAt), "code", err.Code, "text", err.Text)
-		}
+		st.logResumption(ta, err)
+	}
+}
+
+// logResumption logs that a stream which has begun goes on at another target.
+func (st *stream) logResumption(from fleet.Target, err *core.Error) {
+	if !st.begun || !repeatable(st.re.Route) || err.Code == core.CodeOutdated {
+		return
 	}
+	logs.Info(st.fo.Logger, "stream resumed elsewhere", "id", st.re.ID, "from", from.ID, "software", from.Software, "after", st.lastEventID,
+		"silent", st.fo.Clock.Now().Sub(st.lastEventAt), "code", err.Code, "text", err.Text)
 }
 
 // waitForTarget waits before the next search for a target. It returns false if the stream
--- a/runs/step.go
+++ b/runs/step.go
@@ -258,8 +258,6 @@
 		if it.failures >= max(jo.route.Attempts, 1) {
 			ow.finish(jo, it, batch.Errored, "", out.Detail)
 		}
-	case out.Ending == Outdated:
-		it.notBefore = now.Add(outdatedDelay)
 	case out.Ending == Unservable:
 		ow.finish(jo, it, batch.Errored, "", out.Detail)
 	case out.Ending == Complete: // without events, or with some of weights older than permitted
@@ -269,10 +267,13 @@
 	ow.place()
 }
 
-// recordOutcome updates the backoff of the engine after a run.
+// recordOutcome updates the backoff of the engine, or that of the item, after a run.
 func (ow *Owner) recordOutcome(now time.Time, en *engine, ru *run, out Outcome, events int) {
 	switch {
-	case ru.superseded || ru.job.dropped || out.Ending == Limited || out.Ending == Outdated:
+	case ru.superseded || ru.job.dropped || out.Ending == Limited:
+		return
+	case out.Ending == Outdated:
+		ru.item.notBefore = now.Add(outdatedDelay)
 		return
 	case out.Ending == Complete:
 		en.interruptions, en.refusals = 0, 0
