origin, intake, usage: one piece for what stood twice

Stored origins lie in the parts of batch, whose names and hash were written again in origin; the rows stay where they are. conf.Route.ResumableStream replaces the check that calls and origin each had, table.MaxTxRows the limit of the store that intake and usage each had.

An origin that cannot be encoded is logged; before it was dropped without a word. A branch that could not be reached is gone.

Behavior is the same otherwise, the tests keep their assertions.

--- a/calls/calls.go
+++ b/calls/calls.go
@@ -313,7 +313,7 @@
 
 // repeatable reports whether a request may be sent again after it may have run (rule 5).
 func repeatable(ro conf.Route) bool {
-	return ro.Kind == conf.Idempotent || (ro.Kind == conf.Stream && ro.Resumable)
+	return ro.Kind == conf.Idempotent || ro.ResumableStream()
 }
 
 // launch starts another attempt, if the rules permit it.
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -63,6 +63,9 @@
 	Public bool
 }
 
+// ResumableStream reports whether the responses of the route are streams that may be resumed.
+func (ro Route) ResumableStream() bool { return ro.Kind == Stream && ro.Resumable }
+
 // Pick draws a service of the route by weight; draw returns a random number below
 // its argument.
 func (ro Route) Pick(draw func(below int) int) string {
--- a/intake/places.go
+++ b/intake/places.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"bilberryshelf/batch"
 	"bilberryshelf/conf"
 	"bilberryshelf/fleet"
 	"bilberryshelf/logs"
@@ -20,8 +21,6 @@
 	// storeInterval is the time between two batches of origins: what is lost if an entry
 	// dies, against the calls to the store.
 	storeInterval = 250 * time.Millisecond
-	// maxBatch is the largest number of rows in one transaction.
-	maxBatch = 100
 	// cleanInterval is the time between two searches for expired rows.
 	cleanInterval = 30 * time.Second
 )
@@ -131,10 +130,10 @@
 		}
 	}
 	missing, _ := en.places.missing()
-	for from := 0; from < len(missing); from += maxBatch {
-		batch := missing[from:min(from+maxBatch, len(missing))]
+	for from := 0; from < len(missing); from += table.MaxTxRows {
+		part := missing[from:min(from+table.MaxTxRows, len(missing))]
 		var tx table.Tx
-		for _, pa := range batch {
+		for _, pa := range part {
 			pu, err := pa.Put()
 			if err != nil {
 				return err
@@ -142,10 +141,10 @@
 			tx.Puts = append(tx.Puts, pu)
 		}
 		if err := en.write(ctx, tx); err != nil {
-			return errors.Wrapf(err, "write %d places", len(batch))
+			return errors.Wrapf(err, "write %d places", len(part))
 		}
-		en.places.recorded(en.clock.Now(), batch...)
-		for _, pa := range batch {
+		en.places.recorded(en.clock.Now(), part...)
+		for _, pa := range part {
 			logs.Info(en.logger, "place of streams recorded", "route", pa.Route, "service", pa.Service, "software", pa.Software)
 		}
 	}
@@ -244,7 +243,7 @@
 }
 
 // merge returns the places of a route from rows and those that this entry uses, and for how
-// long they have been recorded.
+// long they have been recorded. It must not be called before the rows were listed.
 func (pl *places) merge(route string, rows []origin.Place, storeNow time.Duration) ([]origin.Place, time.Duration) {
 	pl.mutex.Lock()
 	defer pl.mutex.Unlock()
@@ -258,9 +257,6 @@
 	for pa := range set {
 		all = append(all, pa)
 	}
-	if pl.since == nil {
-		return all, 0
-	}
 	return all, pl.since.For(storeNow)
 }
 
@@ -286,7 +282,7 @@
 // storeBatch writes one transaction and reports whether another is due.
 func (en *Entry) storeBatch(ctx context.Context) bool {
 	part := "" // a transaction has rows of one part
-	taken := en.origins.takeUnstored(maxBatch, func(pa origin.Place) bool {
+	taken := en.origins.takeUnstored(table.MaxTxRows, func(pa origin.Place) bool {
 		own := origin.ID(pa.Route, "").Part
 		if !en.places.several(pa.Route) || (part != "" && own != part) {
 			return false
@@ -300,9 +296,11 @@
 	var tx table.Tx
 	for id, kept := range taken {
 		pu, err := origin.Stored{Place: kept.Place, Expires: kept.at.Add(origin.Retention).UnixMilli()}.Put(id)
-		if err == nil && len(id) <= origin.MaxIDBytes {
-			tx.Puts = append(tx.Puts, pu)
+		if err != nil {
+			logs.Error(en.logger, "origin of a stream not encoded", "id", id, "err", err)
+			continue
 		}
+		tx.Puts = append(tx.Puts, pu)
 	}
 	if err := en.write(ctx, tx); err != nil && ctx.Err() == nil {
 		logs.Warn(en.logger, "origins of streams not stored", "count", len(tx.Puts), "err", err)
@@ -379,7 +377,7 @@
 
 // deleteStoredOrigins deletes expired origins and reports whether others are left.
 func (en *Entry) deleteStoredOrigins(ctx context.Context, now time.Time) (left bool, err error) {
-	for _, part := range origin.OriginParts() {
+	for _, part := range batch.Parts() {
 		page, err := table.ListAll(ctx, en.store, table.Range{Table: origin.OriginTable, Part: part})
 		if err != nil {
 			return false, errors.Wrap(err, "list the origins of streams")
--- a/intake/rejoin_test.go
+++ b/intake/rejoin_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bilberryshelf/batch"
 	"bilberryshelf/calls"
 	"bilberryshelf/core"
 	"bilberryshelf/origin"
@@ -245,7 +246,7 @@
 			return page.Rows
 		}
 		stored := func() (count int) {
-			for _, part := range origin.OriginParts() {
+			for _, part := range batch.Parts() {
 				count += len(list(origin.OriginTable, part))
 			}
 			return count
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -42,9 +42,6 @@
 	return cmp.Or(cmp.Compare(lhs.Route, rhs.Route), cmp.Compare(lhs.Service, rhs.Service), cmp.Compare(lhs.Software, rhs.Software))
 }
 
-// Resumable reports whether the streams of a route may be resumed.
-func Resumable(ro conf.Route) bool { return ro.Kind == conf.Stream && ro.Resumable }
-
 // Places holds the places that this entry uses, and which of them have rows. It is not safe
 // for concurrent use. The zero value is empty and ready to use.
 type Places struct {
@@ -65,7 +62,7 @@
 	}
 	used := map[Place]bool{}
 	for _, ro := range routes {
-		if !Resumable(ro) {
+		if !ro.ResumableStream() {
 			continue
 		}
 		for _, sh := range ro.Shares {
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bilberryshelf/batch"
 	"bilberryshelf/conf"
 	"bilberryshelf/fleet"
 	"bilberryshelf/origin"
@@ -126,7 +127,7 @@
 	pu, err := origin.Stored{Place: first, Expires: 7}.Put("id")
 	require.NoError(t, err)
 	require.Equal(t, origin.ID("chat", "id"), pu.ID)
-	require.Contains(t, origin.OriginParts(), pu.ID.Part)
+	require.Contains(t, batch.Parts(), pu.ID.Part)
 	st, err := origin.DecodeStored(table.Row{ID: pu.ID, Value: pu.Value})
 	require.NoError(t, err)
 	require.Equal(t, origin.Stored{Place: first, Expires: 7}, st)
--- a/origin/rows.go
+++ b/origin/rows.go
@@ -3,26 +3,23 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"bilberryshelf/batch"
 	"bilberryshelf/table"
 )
 
 const (
 	// PlaceTable has a row for each place, and one that says since when places are recorded.
 	PlaceTable = "stream-place"
-	// OriginTable has a row for each stream of a route with several places.
+	// OriginTable has a row for each stream of a route with several places, in the parts of
+	// batch.Parts.
 	OriginTable = "stream-origin"
 	// sinceKey is the key of the row in PlaceTable that is not a place; those have a slash.
 	sinceKey = "since"
-	// originParts is the number of parts of OriginTable, since one part takes a quarter of
-	// all writes.
-	originParts = 4
 	// maxNameBytes bounds a name in a key: the store accepts keys of up to 200 bytes.
 	maxNameBytes = 64
 	// MaxIDBytes is the longest id of a stream whose origin is stored.
@@ -107,18 +104,9 @@
 	Expires int64 `cbor:"2,keyasint"`
 }
 
-// OriginParts returns the parts of OriginTable.
-func OriginParts() []string {
-	all := make([]string, originParts)
-	for at := range all {
-		all[at] = "p" + strconv.Itoa(at)
-	}
-	return all
-}
-
 // ID returns the id of the row with the origin of a stream of a route.
 func ID(route, stream string) table.ID {
-	return table.ID{Table: OriginTable, Part: OriginParts()[xxhash.Sum64String(route)%originParts], Key: stream}
+	return table.ID{Table: OriginTable, Part: batch.Part(route), Key: stream}
 }
 
 // Put returns the write of the origin of a stream.
--- a/table/table.go
+++ b/table/table.go
@@ -10,6 +10,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// MaxTxRows is the number of rows that the store accepts in one transaction.
+const MaxTxRows = 100
+
 // ID identifies a row. A transaction may only contain rows of one Part, which may
 // be empty.
 type ID struct {
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -20,6 +20,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"bilberryshelf/table"
 )
 
 const (
@@ -94,7 +96,7 @@
 	defer co.mutex.Unlock()
 	changed := map[uint64]Counts{}
 	for _, window := range slices.Sorted(maps.Keys(co.windows)) {
-		if counts := co.windows[window]; counts.Total() != co.written[window] && len(changed) < maxTxRows {
+		if counts := co.windows[window]; counts.Total() != co.written[window] && len(changed) < table.MaxTxRows {
 			changed[window] = maps.Clone(counts)
 		}
 	}
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -29,8 +29,6 @@
 	maxSending = 8
 	// sweepInterval is the time between two deletions of rows.
 	sweepInterval = 15 * time.Second
-	// maxTxRows is the number of rows that the store accepts in one transaction.
-	maxTxRows = 100
 	// acquireWait is how long after it acquired the lease a holder gets the first permission.
 	acquireWait = 3 * time.Second
 	// DefaultLimit is how long after the end of a window its report is due.
@@ -386,12 +384,12 @@
 			kept = min(kept, window)
 		}
 	}
-	return expired[:min(len(expired), maxTxRows)], kept
+	return expired[:min(len(expired), table.MaxTxRows)], kept
 }
 
 // dropCounts deletes rows of a part with counts of windows before the given one.
 func (rp *Reporter) dropCounts(ctx context.Context, part string, before uint64) error {
-	page, err := rp.Store.List(ctx, table.Range{Table: Table, Part: part, To: windowKey(before), Limit: maxTxRows})
+	page, err := rp.Store.List(ctx, table.Range{Table: Table, Part: part, To: windowKey(before), Limit: table.MaxTxRows})
 	if err != nil {
 		return errors.Wrap(err, "list old counts")
 	}
