review: case 4 with the memory of the site's small machines

Cause: the settings of the two small entries had more memory than the site file gives such machines. Change: 112 MB.

--- a/review/standin/small.go
+++ b/review/standin/small.go
@@ -15,8 +15,8 @@
 	}
 	cl.worker(desk, "", 6, "-work", "20ms")
 	big := cl.entry("front-lagos-ik-1", "lagos-ik", 536, 0.8)
-	cl.entry("front-lagos-ap-1", "lagos-ap", 184, 0.144)
-	cl.entry("front-lagos-ap-2", "lagos-ap", 184, 0.144)
+	cl.entry("front-lagos-ap-1", "lagos-ap", 112, 0.144)
+	cl.entry("front-lagos-ap-2", "lagos-ap", 112, 0.144)
 	cl.waitReady()
 
 	job, jo := randomID(), newJob(216, 600, 2)
