review: streams taken up again are joined from two software versions

Cause: the origin of a stream that no entry remembers is decided by the places of the route that matches the take-up; a route that was added after the stream began has only seen the new version.

--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -246,7 +246,12 @@
 
 // worker starts a worker and registers it.
 func (cl *cluster) worker(service, model string, slots int, extra ...string) *workerSpec {
-	wo := &workerSpec{service: service, model: model, slots: slots, addr: freeAddr(), software: "v1", extra: extra}
+	return cl.workerOf("v1", service, model, slots, extra...)
+}
+
+// workerOf starts a worker of a software version.
+func (cl *cluster) workerOf(software, service, model string, slots int, extra ...string) *workerSpec {
+	wo := &workerSpec{service: service, model: model, slots: slots, addr: freeAddr(), software: software, extra: extra}
 	cl.workers = append(cl.workers, wo)
 	cl.startWorker(wo)
 	return wo
@@ -259,7 +264,7 @@
 	self, err := os.Executable()
 	must(err)
 	args := append([]string{
-		"worker", "-listen", wo.addr, "-id", wo.id, "-model", wo.model, "-slots", strconv.Itoa(wo.slots),
+		"worker", "-listen", wo.addr, "-id", wo.id, "-model", wo.model, "-software", wo.software, "-slots", strconv.Itoa(wo.slots),
 		"-born", strconv.FormatInt(wo.born, 10), "-log", filepath.Join(cl.dir, "runs."+wo.id),
 	}, wo.extra...)
 	wo.process = &process{name: "worker " + wo.id, path: self, args: args, log: filepath.Join(cl.dir, wo.id+".log")}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,11 +17,12 @@
 
 // cases maps the name of a case to its script. trouble tells whether to disrupt.
 var cases = map[string]func(cl *cluster, trouble bool) (verdict string, isBroken bool){
-	"once":  caseOnce,
-	"large": caseLarge,
-	"spoil": caseSpoil,
-	"small": caseSmall,
-	"mixed": caseMixed,
+	"once":   caseOnce,
+	"large":  caseLarge,
+	"spoil":  caseSpoil,
+	"small":  caseSmall,
+	"mixed":  caseMixed,
+	"joined": caseJoined,
 }
 
 func main() {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -17,6 +17,7 @@
 // the body that it got, an engine with a stream of events.
 type worker struct {
 	id, model    string
+	software     string
 	slots        int
 	work, pause  time.Duration
 	events       int
@@ -33,6 +34,7 @@
 	listen := flags.String("listen", "", "address")
 	flags.StringVar(&wo.id, "id", "", "id of the incarnation")
 	flags.StringVar(&wo.model, "model", "", "model of an engine; empty for a plain worker")
+	flags.StringVar(&wo.software, "software", "v1", "version of the software")
 	flags.IntVar(&wo.slots, "slots", 6, "requests at once")
 	flags.DurationVar(&wo.work, "work", 50*time.Millisecond, "duration of a plain request")
 	flags.DurationVar(&wo.pause, "pause", 50*time.Millisecond, "time of an event")
@@ -123,6 +125,12 @@
 // eventData is the data of an event of a text.
 func eventData(item string, at int) string { return fmt.Sprintf("%s.%d", item, at) }
 
+// streamData is the data of an event of a caller's stream. Each software version has its own
+// text.
+func streamData(software, path string, at int) string {
+	return fmt.Sprintf("%s%s.%d", software, path, at)
+}
+
 // wholeText is the text of an item as a result lists it.
 func wholeText(item string, events int) string {
 	var lines []string
@@ -145,6 +153,9 @@
 			return
 		}
 		data := eventData(id, at)
+		if strings.HasPrefix(req.URL.Path, streamPath) { // the text of a caller's stream
+			data = streamData(wo.software, req.URL.Path, at)
+		}
 		if spoilt && at == wo.events {
 			data = "\xff\xfe\xfd" + data[3:]
 			wo.note("spoils event %d of %s", at, id)
