review: an extra refusal without an id makes a request run twice

Cause: a response with Not-Run and without an id is taken at its word, on whatever connection it arrives; only one that names another request is rejected.

--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -257,10 +257,16 @@
 	return wo
 }
 
-// startWorker starts a new incarnation of a worker.
+// startWorker starts a new incarnation of a worker, under a new id.
 func (cl *cluster) startWorker(wo *workerSpec) {
 	cl.starts++
-	wo.id, wo.born = fmt.Sprintf("i-%06x%02d", os.Getpid(), cl.starts), time.Now().UnixMilli()
+	wo.id = fmt.Sprintf("i-%06x%02d", os.Getpid(), cl.starts)
+	cl.launch(wo)
+}
+
+// launch starts the process of a worker and registers it as soon as it listens.
+func (cl *cluster) launch(wo *workerSpec) {
+	wo.born = time.Now().UnixMilli()
 	self, err := os.Executable()
 	must(err)
 	args := append([]string{
--- a/review/standin/joined.go
+++ b/review/standin/joined.go
@@ -87,6 +87,11 @@
 	}
 	group.Wait()
 
+	return judgeStreams(cl, clients)
+}
+
+// judgeStreams checks that no text has events of two software versions.
+func judgeStreams(cl *cluster, clients []*streamClient) (string, bool) {
 	joined, complete := 0, 0
 	for _, sc := range clients {
 		if sc.complete {
@@ -97,7 +102,41 @@
 			cl.note("ORDER: the text of %s is joined from %v; complete: %v", sc.path, sc.versions, sc.complete)
 		}
 	}
-	return fmt.Sprintf("%d streams, %d complete, %d joined from two versions", streams, complete, joined), joined > 0
+	return fmt.Sprintf("%d streams, %d complete, %d joined from two versions", len(clients), complete, joined), joined > 0
+}
+
+// caseAgain has a worker crash, and start again under its id with a newer version, while
+// streams run. It is no case of the review: the pages don't say that both may change at once.
+func caseAgain(cl *cluster, trouble bool) (string, bool) {
+	const (
+		events  = 60
+		streams = 8
+		down    = 400 * time.Millisecond
+	)
+	cl.configureStreams(7, false)
+	extra := []string{"-events", strconv.Itoa(events), "-pause", "120ms"}
+	old := cl.worker(engines, model, 12, extra...)
+	cl.guard("side-lagos-ik-1", "lagos-ik", old)
+	cl.guard("side-lagos-ap-1", "lagos-ap", cl.workerOf("v2", engines, model, 12, extra...))
+	cl.entry("front-lagos-ik-1", "lagos-ik", 164, 0.8)
+	cl.entry("front-lagos-ap-1", "lagos-ap", 164, 0.8)
+	cl.waitReady()
+
+	var group sync.WaitGroup
+	clients := make([]*streamClient, streams)
+	for at := range clients {
+		clients[at] = &streamClient{cl: cl, path: addedPath + strconv.Itoa(at), total: events}
+		group.Go(func() { clients[at].run(at) })
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		cl.kill(old.process)
+		time.Sleep(down)
+		old.software = "v2"
+		cl.launch(old)
+	}
+	group.Wait()
+	return judgeStreams(cl, clients)
 }
 
 // streamClient is a client of a stream. It resumes it after a broken connection.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,8 @@
 	"small":  caseSmall,
 	"mixed":  caseMixed,
 	"joined": caseJoined,
+	"again":  caseAgain,
+	"extra":  caseExtra,
 }
 
 func main() {
--- a/review/standin/once.go
+++ b/review/standin/once.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -37,7 +38,7 @@
 			sender := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{}}
 			for time.Now().Before(end) {
 				id := randomID()
-				status := cl.once(sender, en, id)
+				status := cl.once(sender, en, http.MethodGet, id)
 				mutex.Lock()
 				statuses[id] = status
 				mutex.Unlock()
@@ -53,7 +54,11 @@
 	}
 	group.Wait()
 	time.Sleep(time.Second)
+	return cl.judgeOnce(statuses)
+}
 
+// judgeOnce checks that no request ran twice, and that none ran that was answered 429 or 503.
+func (cl *cluster) judgeOnce(statuses map[string]int) (string, bool) {
 	count, workersOf := map[string]int{}, map[string][]string{}
 	for _, ru := range cl.runs() {
 		count[ru.id]++
@@ -76,9 +81,14 @@
 	return fmt.Sprintf("%d requests, %d served, %d ran twice, %d were refused and ran", len(statuses), served, twice, refused), twice+refused > 0
 }
 
-// once sends one request without a body and returns its status, zero without an answer.
-func (cl *cluster) once(sender *http.Client, en *entrySpec, id string) int {
-	req, err := http.NewRequest(http.MethodGet, "http://"+en.callers+oncePath+"2f?lot="+id[:4], nil)
+// once sends one request, with a body unless its method is GET, and returns its status, zero
+// without an answer.
+func (cl *cluster) once(sender *http.Client, en *entrySpec, method, id string) int {
+	var body io.Reader
+	if method != http.MethodGet {
+		body = strings.NewReader("lot " + id[:4])
+	}
+	req, err := http.NewRequest(method, "http://"+en.callers+oncePath+"2f?lot="+id[:4], body)
 	must(err)
 	req.Host = host
 	req.Header.Set("Bilberryshelf-Request-Id", id)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -40,6 +40,8 @@
 	flags.DurationVar(&wo.pause, "pause", 50*time.Millisecond, "time of an event")
 	flags.IntVar(&wo.events, "events", 5, "events of a text")
 	flags.IntVar(&wo.spoilEach, "spoil-each", 0, "one answer of so many is spoilt; 0 for none")
+	raw := flags.Bool("raw", false, "serve plain requests on connections of its own")
+	extraEach := flags.Int("extra-each", 0, "after one answer of so many an extra one is sent; 0 for none")
 	log := flags.String("log", "", "file for the record of runs")
 	flags.Int64Var(&wo.born, "born", 0, "Unix ms of the start")
 	if err := flags.Parse(args); err != nil {
@@ -50,6 +52,9 @@
 		return err
 	}
 	wo.log = file
+	if *raw {
+		return wo.serveRaw(*listen, *extraEach)
+	}
 	return (&http.Server{Addr: *listen, Handler: &wo}).ListenAndServe()
 }
 
