--- a/guard/extra_test.go
+++ b/guard/extra_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -64,3 +65,34 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a request that runs twice at a target which breaks its connection: the
+// transport must not repeat it, though its method is idempotent and it has no body.
+func TestForwardIsNotRepeated(t *testing.T) {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer li.Close()
+	var seen atomic.Int64
+	go func() {
+		for {
+			conn, err := li.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil && seen.Add(1) == 1 {
+				_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+			_ = conn.Close()
+		}
+	}()
+	se := setup.DefaultGuard()
+	se.Engine.URL = "http://" + li.Addr().String()
+	gu := New(se, core.SystemClock{}, log.NewNopLogger(), &meter.Set{}, nil, nil)
+	dispatch := &wire.DispatchRequest{Path: "/lots", Method: "GET", Headers: []*wire.Header{{Name: "Idempotency-Key", Value: "k"}}}
+	_, er := gu.forward(t.Context(), dispatch, &run{}, &frames{})
+	require.Nil(t, er)
+	_, er = gu.forward(t.Context(), dispatch, &run{}, &frames{})
+	require.NotNil(t, er)
+	require.Equal(t, core.MayHaveRun, er.Verdict)
+	require.EqualValues(t, 2, seen.Load(), "one request for each dispatch")
+}
