batch: read values of 100 rows and more

Callers saw: a step of 2,048 samples, accepted with 202, was never finished after the entry that ran it was killed, and the bodies of its items were answered 503.

Cause: the keys of a value's rows have a number and a count of at least two digits; the reader expected exactly two, and rows in the order of their keys. A body of 6 MB or more (32 MiB are accepted) could be written but not read. The entry that accepted the job ran it from memory, so nothing showed before its end.

Change: the reader splits keys at their last two dots and orders rows by number. The stored format is the same: jobs of earlier releases become readable. Incomplete values are left out; before, the rows of a text stored twice with different counts made the texts of all items of the job unreadable.

TestBodyOfManyRows from 100 rows on, TestPartialOfManyRows and TestRowOrder failed before.

Ruled out: an incomplete write; the read's time limit (not in this case).

--- a/batch/ledger_test.go
+++ b/batch/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -90,6 +91,72 @@
 	require.Equal(t, big, body)
 }
 
+// Guards against an accepted job that cannot be read: from 100 rows on, the keys of its rows
+// do not sort in their order and are longer. Covers the largest body that the platform's
+// clients may send, 32 MiB.
+func TestBodyOfManyRows(t *testing.T) {
+	const rowBytes = 60000
+	for _, count := range []int{1, 2, 98, 99, 100, 101, 146, 560} {
+		t.Run(strconv.Itoa(count), func(t *testing.T) {
+			le := batch.Ledger{Store: &fake.Rows{}}
+			jo := job(1, count*rowBytes-1000)
+			require.Len(t, batch.BodyPuts(jo), count)
+			accept(t, le, jo)
+			body, err := le.Body(context.Background(), jo.ID)
+			require.NoError(t, err)
+			require.Equal(t, jo, body)
+		})
+	}
+}
+
+// The same for a partial text.
+func TestPartialOfManyRows(t *testing.T) {
+	le := batch.Ledger{Store: &fake.Rows{}}
+	long := batch.Partial{ID: "i.1", Events: []string{strings.Repeat("x", 7000000)}, Versions: []uint64{3}, Step: 1}
+	short := batch.Partial{ID: "i", Events: []string{"y"}, Versions: []uint64{3}, Step: 1}
+	_, err := le.SavePartials(context.Background(), "r", []batch.Partial{long, short})
+	require.NoError(t, err)
+	got, err := le.Partials(context.Background(), "r", 1, func(string) bool { return true })
+	require.NoError(t, err)
+	require.Len(t, got, 2)
+	require.Equal(t, long.Events, got[long.ID].Events)
+	require.Equal(t, short.Events, got[short.ID].Events)
+	require.Greater(t, len(got[long.ID].Rows), 100)
+}
+
+// A body is read whatever the order of its rows, and not if one is missing. Rows of a text
+// that was replaced by one with more rows do not hide other texts.
+func TestRowOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		jo := job(rapid.IntRange(1, 130).Draw(rt, "items"), 59000)
+		var rows []table.Row
+		for _, pu := range batch.BodyPuts(jo) {
+			rows = append(rows, table.Row{ID: pu.ID, Value: pu.Value})
+		}
+		rows = rapid.Permutation(rows).Draw(rt, "rows")
+		body, err := batch.DecodeBodyRows(rows)
+		require.NoError(rt, err)
+		require.Equal(rt, jo, body)
+		_, err = batch.DecodeBodyRows(rows[1:])
+		require.Error(rt, err)
+	})
+	var rows []table.Row
+	for _, size := range []int{70000, 130000} {
+		replaced := batch.Partial{ID: "i1", Events: []string{strings.Repeat("x", size)}, Versions: []uint64{3}}
+		for _, pu := range batch.PartialPuts("r", replaced) {
+			rows = append(rows, table.Row{ID: pu.ID, Value: pu.Value})
+		}
+	}
+	for _, pu := range batch.PartialPuts("r", batch.Partial{ID: "i2", Events: []string{"y"}, Versions: []uint64{3}}) {
+		rows = append(rows, table.Row{ID: pu.ID, Value: pu.Value})
+	}
+	slices.SortFunc(rows, func(lhs, rhs table.Row) int { return strings.Compare(lhs.ID.Key, rhs.ID.Key) })
+	got, err := batch.DecodePartials(rows)
+	require.NoError(t, err)
+	require.Len(t, got["i1"].Events[0], 130000)
+	require.Equal(t, []string{"y"}, got["i2"].Events)
+}
+
 // Results keep the position at which they were first listed. This guards against
 // retries, late writes and writes of a previous owner that list a result again.
 func TestAppend(t *testing.T) {
--- a/batch/rows.go
+++ b/batch/rows.go
@@ -1,8 +1,11 @@
 package batch
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -81,17 +84,44 @@
 	return append(out, raw)
 }
 
-// chunkKey returns the key of one of count rows of a value. The keys sort in the
-// order of the rows, and the count lets a reader detect missing rows.
+// chunkKey returns the key of one of count rows of a value. The count lets a reader detect
+// missing rows. The keys of a value with 100 rows or more do not sort in their order.
 func chunkKey(name string, at, count int) string { return fmt.Sprintf("%s.%02d.%02d", name, at, count) }
 
-func splitChunkKey(key string) (name string, at, count int, err error) {
-	if len(key) < 7 {
-		return "", 0, 0, errors.Newf("row key %q is too short", key)
+// chunk is a row that holds part of a value.
+type chunk struct {
+	name      string
+	at, count int
+	raw       []byte
+}
+
+// parseChunk parses the key of a row, which chunkKey returned.
+func parseChunk(ro table.Row) (chunk, error) {
+	name, number, count := ro.ID.Key, "", ""
+	for _, field := range []*string{&count, &number} {
+		dot := strings.LastIndexByte(name, '.')
+		if dot < 0 {
+			return chunk{}, errors.Newf("row key %q has no number and count", ro.ID.Key)
+		}
+		name, *field = name[:dot], name[dot+1:]
+	}
+	ch := chunk{name: name, raw: ro.Value}
+	var err error
+	if ch.at, err = strconv.Atoi(number); err != nil {
+		return chunk{}, errors.Wrapf(err, "row key %q", ro.ID.Key)
+	}
+	if ch.count, err = strconv.Atoi(count); err != nil {
+		return chunk{}, errors.Wrapf(err, "row key %q", ro.ID.Key)
 	}
-	name = key[:len(key)-6]
-	_, err = fmt.Sscanf(key[len(key)-6:], ".%02d.%02d", &at, &count)
-	return name, at, count, errors.Wrapf(err, "row key %q", key)
+	if ch.at < 0 || ch.at >= ch.count {
+		return chunk{}, errors.Newf("row key %q: number %d of %d", ro.ID.Key, ch.at, ch.count)
+	}
+	return ch, nil
+}
+
+// compareChunks orders the rows of each value by their number.
+func compareChunks(lhs, rhs chunk) int {
+	return cmp.Or(strings.Compare(lhs.name, rhs.name), cmp.Compare(lhs.count, rhs.count), cmp.Compare(lhs.at, rhs.at))
 }
 
 func chunkPuts(tab, part, name string, raw []byte) []table.Put {
@@ -103,29 +133,37 @@
 	return puts
 }
 
-// joinChunks reassembles values from their rows and calls take for each, in order.
-// It omits a last value whose rows are incomplete.
+// joinChunks reassembles values from their rows and calls take for each, in the order of
+// their names. It omits values whose rows are incomplete.
 func joinChunks(rows []table.Row, take func(name string, raw []byte) error) error {
-	var (
-		raw  []byte
-		next int
-	)
-	for _, ro := range rows {
-		name, at, count, err := splitChunkKey(ro.ID.Key)
-		if err != nil {
+	all := make([]chunk, len(rows))
+	for at, ro := range rows {
+		var err error
+		if all[at], err = parseChunk(ro); err != nil {
 			return err
 		}
-		if at == 0 {
-			raw, next = nil, 0
+	}
+	slices.SortFunc(all, compareChunks)
+	for len(all) > 0 {
+		first, size := all[0], 0
+		end := slices.IndexFunc(all, func(ch chunk) bool { return ch.name != first.name || ch.count != first.count })
+		if end < 0 {
+			end = len(all)
+		}
+		value := all[:end]
+		all = all[end:]
+		if len(value) != first.count {
+			continue
 		}
-		if at != next {
-			return errors.Newf("row %s does not follow the one before", ro.ID.Key)
+		for _, ch := range value {
+			size += len(ch.raw)
 		}
-		raw, next = append(raw, ro.Value...), next+1
-		if next == count {
-			if err := take(name, raw); err != nil {
-				return err
-			}
+		raw := make([]byte, 0, size)
+		for _, ch := range value {
+			raw = append(raw, ch.raw...)
+		}
+		if err := take(first.name, raw); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -164,7 +202,10 @@
 // DecodeBodyRows decodes a job from the rows of its body.
 func DecodeBodyRows(rows []table.Row) (*Job, error) {
 	var jo *Job
-	err := joinChunks(rows, func(_ string, raw []byte) error {
+	err := joinChunks(rows, func(name string, raw []byte) error {
+		if jo != nil {
+			return errors.Newf("%s holds two bodies", name)
+		}
 		jo = &Job{}
 		return decode(raw, jo, "body of a job")
 	})
@@ -230,10 +271,10 @@
 		return nil
 	})
 	for _, ro := range rows {
-		name, _, _, err := splitChunkKey(ro.ID.Key)
-		if pa, found := out[name]; found && err == nil {
+		ch, err := parseChunk(ro)
+		if pa, found := out[ch.name]; found && err == nil {
 			pa.Rows = append(pa.Rows, ro.ID)
-			out[name] = pa
+			out[ch.name] = pa
 		}
 	}
 	return out, err
