batch, intake: read the pages of a large body within a limit each

Callers would see: a job of up to 32 MiB, accepted with 202, is never finished after a kill, as no entry in another region than the store can read its body.

An entry that read for more than a second began the adoption anew each second, since the job named it as owner.

Change: CallTimeout bounds a page. The store in memory for tests has the platform's pages (500 rows, 1 MB).

TestRoundTrip took the first page of the results for all of them, which holds only for a store without pages; it now reads to the end and compares all results.

--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -46,11 +46,24 @@
 	return context.WithTimeout(ctx, timeout)
 }
 
+// pageReader reads each page of a range within CallTimeout. A range may have any number of
+// pages: a body has up to 40.
+type pageReader struct{ ledger Ledger }
+
+func (pr pageReader) List(ctx context.Context, ra table.Range) (table.Page, error) {
+	call, cancel := pr.ledger.withTimeout(ctx)
+	defer cancel()
+	return pr.ledger.Store.List(call, ra)
+}
+
+// list reads the first page of a range.
+func (le Ledger) list(ctx context.Context, ra table.Range) (table.Page, error) {
+	return pageReader{le}.List(ctx, ra)
+}
+
 // Find reads the head of a job.
 func (le Ledger) Find(ctx context.Context, job string) (VersionedHead, error) {
-	call, cancel := le.withTimeout(ctx)
-	defer cancel()
-	page, err := le.Store.List(call, headRange(job))
+	page, err := le.list(ctx, headRange(job))
 	if err != nil || len(page.Rows) == 0 {
 		return VersionedHead{}, err
 	}
@@ -64,9 +77,7 @@
 
 // Body reads the body of a job.
 func (le Ledger) Body(ctx context.Context, job string) (*Job, error) {
-	call, cancel := le.withTimeout(ctx)
-	defer cancel()
-	page, err := table.ListAll(call, le.Store, jobRange(BodyTable, job, ""))
+	page, err := table.ListAll(ctx, pageReader{le}, jobRange(BodyTable, job, ""))
 	if err != nil {
 		return nil, err
 	}
@@ -76,9 +87,7 @@
 // Results reads the results from a position on, at most those that fit one response
 // of the store.
 func (le Ledger) Results(ctx context.Context, job string, from int) ([]Result, error) {
-	call, cancel := le.withTimeout(ctx)
-	defer cancel()
-	page, err := le.Store.List(call, ResultRange(job, from))
+	page, err := le.list(ctx, ResultRange(job, from))
 	if err != nil {
 		return nil, err
 	}
@@ -222,9 +231,7 @@
 // deleteRange deletes the rows of a range, one page at a time.
 func (le Ledger) deleteRange(ctx context.Context, ra table.Range) error {
 	for {
-		call, cancel := le.withTimeout(ctx)
-		page, err := le.Store.List(call, ra)
-		cancel()
+		page, err := le.list(ctx, ra)
 		if err != nil || len(page.Rows) == 0 {
 			return err
 		}
@@ -288,9 +295,7 @@
 // returns those for which wanted returns true, and deletes the others if they are older
 // than staleAfterSteps.
 func (le Ledger) Partials(ctx context.Context, part string, step int, wanted func(item string) bool) (map[string]Partial, error) {
-	call, cancel := le.withTimeout(ctx)
-	defer cancel()
-	page, err := table.ListAll(call, le.Store, table.Range{Table: PartialTable, Part: part})
+	page, err := table.ListAll(ctx, pageReader{le}, table.Range{Table: PartialTable, Part: part})
 	if err != nil || len(page.Rows) == 0 {
 		return nil, err
 	}
@@ -308,5 +313,5 @@
 			stale = append(stale, pa.Rows...)
 		}
 	}
-	return partials, le.DeleteRows(call, stale)
+	return partials, le.DeleteRows(ctx, stale)
 }
--- a/batch/ledger_test.go
+++ b/batch/ledger_test.go
@@ -228,8 +228,13 @@
 			require.NoError(rt, err)
 			left = left[taken:]
 		}
-		got, err := le.Results(ctx, "j1", 0)
-		require.NoError(rt, err)
+		var got []batch.Result
+		for len(got) < len(all) { // the store returns the results in pages
+			page, err := le.Results(ctx, "j1", len(got))
+			require.NoError(rt, err)
+			require.NotEmpty(rt, page)
+			got = append(got, page...)
+		}
 		require.Equal(rt, all, got)
 	})
 }
--- a/fake/rows.go
+++ b/fake/rows.go
@@ -207,12 +207,32 @@
 		}
 	}
 	slices.SortFunc(page.Rows, func(lhs, rhs table.Row) int { return strings.Compare(lhs.ID.Key, rhs.ID.Key) })
-	if ra.Limit > 0 && len(page.Rows) > ra.Limit {
-		page.Rows, page.More = page.Rows[:ra.Limit], true
+	if fit := fitPage(page.Rows, ra.Limit); fit < len(page.Rows) {
+		page.Rows, page.More = page.Rows[:fit], true
 	}
 	return page, nil
 }
 
+// The limits of one page of a list, as the platform documents them.
+const (
+	maxPageRows  = 500
+	maxPageBytes = 1000000
+)
+
+// fitPage returns how many rows fit one page; at least one.
+func fitPage(rows []table.Row, limit int) int {
+	if limit <= 0 || limit > maxPageRows {
+		limit = maxPageRows
+	}
+	size := 0
+	for at, row := range rows {
+		if size += len(row.Value); at > 0 && (at >= limit || size > maxPageBytes) {
+			return at
+		}
+	}
+	return len(rows)
+}
+
 // Watch returns the changes of a table after a version. It waits for the first
 // change, and returns an empty page when wait has passed without one. It returns
 // table.ErrCompacted if the history no longer reaches back to that version.
--- a/intake/adopt.go
+++ b/intake/adopt.go
@@ -15,8 +15,6 @@
 	// it as owner but does not run here, for example after a write that took effect
 	// late.
 	ownAdoptDelay = time.Second
-	// adoptTimeout bounds the adoption of one job.
-	adoptTimeout = 4 * time.Second
 	// maxAdoptAge is the largest age of a job that is adopted, counted from when this
 	// entry first saw it; all time limits of an older job have passed.
 	maxAdoptAge = 2 * time.Minute
@@ -28,9 +26,8 @@
 		return
 	}
 	now := en.clock.Now()
-	var adoptions sync.WaitGroup // each reads its job from the store, perhaps in another region
 	for job, vh := range heads {
-		if !vh.Head.Open() || en.index.KnownFor(job) > maxAdoptAge || en.owner.Owns(job) {
+		if !vh.Head.Open() || en.index.KnownFor(job) > maxAdoptAge || en.owner.Owns(job) || en.adopting.has(job) {
 			delete(en.orphans, job)
 			continue
 		}
@@ -46,10 +43,40 @@
 		en.orphans[job] = since
 		if now.Sub(since) >= delay {
 			delete(en.orphans, job)
-			adoptions.Go(func() { en.adopt(ctx, job, vh) })
+			go en.adopt(ctx, job, vh)
 		}
 	}
-	adoptions.Wait()
+}
+
+// adoptions holds the jobs that are being adopted. To read a large one takes many seconds
+// if the store is in another region. The zero value is empty.
+type adoptions struct {
+	mutex sync.Mutex
+	jobs  map[string]bool
+}
+
+// begin reports whether a job may be adopted, and if so adds it.
+func (ad *adoptions) begin(job string) bool {
+	ad.mutex.Lock()
+	defer ad.mutex.Unlock()
+	if ad.jobs == nil {
+		ad.jobs = map[string]bool{}
+	}
+	known := ad.jobs[job]
+	ad.jobs[job] = true
+	return !known
+}
+
+func (ad *adoptions) end(job string) {
+	ad.mutex.Lock()
+	defer ad.mutex.Unlock()
+	delete(ad.jobs, job)
+}
+
+func (ad *adoptions) has(job string) bool {
+	ad.mutex.Lock()
+	defer ad.mutex.Unlock()
+	return ad.jobs[job]
 }
 
 // adoptDelay returns how long after an orphan was found this entry adopts it.
@@ -67,12 +94,14 @@
 }
 
 // adopt makes this entry the owner of a job and continues it from its listed
-// results.
+// results. The calls to the store have time limits of their own.
 func (en *Entry) adopt(ctx context.Context, job string, vh batch.VersionedHead) {
-	call, cancel := context.WithTimeout(ctx, adoptTimeout)
-	defer cancel()
+	if !en.adopting.begin(job) {
+		return
+	}
+	defer en.adopting.end(job)
 	previous := vh.Head.Owner
-	vh, err := en.ledger.Adopt(call, job, vh, en.name)
+	vh, err := en.ledger.Adopt(ctx, job, vh, en.name)
 	if err != nil {
 		logs.Info(en.logger, "job not adopted", "id", job, "owner", previous, "err", err)
 		if vh.Version > 0 {
@@ -81,7 +110,7 @@
 		return
 	}
 	en.index.Put(job, vh)
-	body, listed, err := en.loadJob(call, job, vh)
+	body, listed, err := en.loadJob(ctx, job, vh)
 	if err != nil {
 		logs.Warn(en.logger, "adopted job could not be read", "id", job, "err", err)
 		return // retried after ownAdoptDelay
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -113,6 +113,8 @@
 	regions map[string]string
 	// orphans maps a job to the time at which it was found to be an orphan.
 	orphans map[string]time.Time
+	// adopting has a lock of its own.
+	adopting adoptions
 	// failedIssuers maps an entry that did not issue permits to when it is asked again.
 	failedIssuers map[string]time.Time
 	// issuerSince maps a target to when this entry became the issuer of its permits.
--- a/intake/places.go
+++ b/intake/places.go
@@ -310,6 +310,9 @@
 	return true
 }
 
+// cleanTimeout bounds one search for expired places and origins.
+const cleanTimeout = 4 * time.Second
+
 // cleanOrigins deletes expired places and origins from the store. Only one entry does: the
 // owner of the table's name as if it were a route.
 func (en *Entry) cleanOrigins(ctx context.Context) {
@@ -318,7 +321,7 @@
 	if !pl.startCleaning(now, owner) {
 		return
 	}
-	call, cancel := context.WithTimeout(ctx, adoptTimeout)
+	call, cancel := context.WithTimeout(ctx, cleanTimeout)
 	defer cancel()
 	left, err := en.deletePlaces(call, now)
 	if err == nil {
--- a/table/table.go
+++ b/table/table.go
@@ -86,10 +86,15 @@
 	ErrCompacted = errors.New("the store no longer has the history after the version")
 )
 
+// Lister reads rows.
+type Lister interface {
+	List(ctx context.Context, ra Range) (Page, error)
+}
+
 // Client reads and writes rows. Commit returns the version of the transaction.
 type Client interface {
+	Lister
 	Commit(ctx context.Context, tx Tx) (version uint64, err error)
-	List(ctx context.Context, ra Range) (Page, error)
 }
 
 // Watcher is a Client that also reports changes. Watch returns the rows of a table
@@ -102,7 +107,7 @@
 
 // ListAll reads all pages of a range. The version of the result is that of the first
 // page, from which a watch must start, and its clock that of the last.
-func ListAll(ctx context.Context, cl Client, ra Range) (Page, error) {
+func ListAll(ctx context.Context, cl Lister, ra Range) (Page, error) {
 	var all Page
 	for {
 		page, err := cl.List(ctx, ra)
