platform, batch: a text that is not UTF-8 does not hide the results of its job

Callers saw: after one spoilt event in one of 216 items, every read of the job's results was answered 503 at every entry, for ever, and no entry could adopt the job.

Cause: bytes of a target were stored as a CBOR text without a check. The library encodes such a text and refuses to decode it, and a page of results is decoded as a whole. Scores (a header of the target) and partial texts had the same fault; the id of a job was changed by the JSON of the store, so that an accepted job was unknown.

Stored values are decoded leniently, which makes the results of earlier releases readable; a spoilt partial text is dropped.

Ruled out: a failed append (the head counts the result).

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -15,7 +15,9 @@
 import (
 	"encoding/binary"
 	"slices"
+	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -72,13 +74,14 @@
 	Workspace string `cbor:"9,keyasint,omitempty"`
 }
 
-// Validate returns an error if an id or a path is missing, too long or not unique.
+// Validate returns an error if an id or a path is missing, too long, not unique, or not a
+// valid key in the store.
 func (jo *Job) Validate() error {
 	if jo.ID == "" {
 		return errors.New("the job has no id")
 	}
-	if len(jo.ID) > MaxIDBytes {
-		return errors.Newf("the id of the job is longer than %d bytes", MaxIDBytes)
+	if len(jo.ID) > MaxIDBytes || !utf8.ValidString(jo.ID) {
+		return errors.Newf("the id of the job is longer than %d bytes, or not UTF-8", MaxIDBytes)
 	}
 	if len(jo.Items) == 0 {
 		return errors.New("the job has no items")
@@ -191,6 +194,11 @@
 	return len(pa.Versions) == len(pa.Events)
 }
 
+// isUTF8 reports whether all events are UTF-8.
+func (pa Partial) isUTF8() bool {
+	return !slices.ContainsFunc(pa.Events, func(ev string) bool { return !utf8.ValidString(ev) })
+}
+
 // DistinctVersions returns each version once, in ascending order.
 func DistinctVersions(versions []uint64) []uint64 {
 	sorted := slices.Clone(versions)
@@ -222,6 +230,16 @@
 	return raw[digestBytes:], true
 }
 
+// decoder accepts strings that are not UTF-8. Earlier releases stored texts and scores
+// unchecked, and one of them must not make the other results of its job unreadable.
+var decoder = sync.OnceValue(func() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(errors.Wrap(err, "options of the decoder"))
+	}
+	return mode
+})
+
 func decode(raw []byte, target any, what string) error {
-	return errors.Wrapf(cbor.Unmarshal(raw, target), "decode %s", what)
+	return errors.Wrapf(decoder().Unmarshal(raw, target), "decode %s", what)
 }
--- a/batch/ledger_test.go
+++ b/batch/ledger_test.go
@@ -312,10 +312,37 @@
 	require.Equal(t, other, body)
 }
 
+// Guards against results that cannot be read because one of them, or a partial text, holds
+// bytes that are not UTF-8. Earlier releases stored such texts and scores.
+func TestTextsThatAreNotUTF8(t *testing.T) {
+	ctx := context.Background()
+	le := batch.Ledger{Store: &fake.Rows{}}
+	vh := accept(t, le, job(3, 10))
+	all := results(0, 3, 10)
+	all[1].Text, all[2].Score = "a\xffb", "\xc3"
+	ap, count := batch.NewAppend("j1", vh, all)
+	require.Equal(t, 3, count)
+	_, err := le.Commit(ctx, ap)
+	require.NoError(t, err)
+	got, err := le.Results(ctx, "j1", 0)
+	require.NoError(t, err)
+	require.Equal(t, all, got)
+
+	sound := batch.Partial{ID: "i1", Events: []string{"a", "b"}, Versions: []uint64{3, 3}}
+	spoilt := batch.Partial{ID: "i2", Events: []string{"a", "\xe2\x82"}, Versions: []uint64{3, 3}}
+	_, err = le.SavePartials(ctx, "r", []batch.Partial{spoilt, sound})
+	require.NoError(t, err)
+	texts, err := le.Partials(ctx, "r", 1, func(string) bool { return true })
+	require.NoError(t, err)
+	require.Len(t, texts, 1)
+	require.Equal(t, sound.Events, texts["i1"].Events)
+}
+
 func TestValidate(t *testing.T) {
 	for name, corrupt := range map[string]func(*batch.Job){
 		"no id":       func(jo *batch.Job) { jo.ID = "" },
 		"long id":     func(jo *batch.Job) { jo.ID = strings.Repeat("j", batch.MaxIDBytes+1) },
+		"odd id":      func(jo *batch.Job) { jo.ID = "j\xff" },
 		"no items":    func(jo *batch.Job) { jo.Items = nil },
 		"twice":       func(jo *batch.Job) { jo.Items[1].ID = jo.Items[0].ID },
 		"no path":     func(jo *batch.Job) { jo.Items[0].Path = "" },
--- a/batch/rows.go
+++ b/batch/rows.go
@@ -264,6 +264,9 @@
 		if err := decode(raw, &pa, "partial text"); err != nil {
 			return err
 		}
+		if !pa.isUTF8() {
+			return nil // stored by an earlier release; the item begins anew
+		}
 		if known, found := out[pa.ID]; found && len(known.Events) > len(pa.Events) {
 			pa.Events, pa.Versions, pa.Complete = known.Events, known.Versions, known.Complete
 		}
