origin: an odd id of a stream does not keep other origins from the store

Callers would see: after a kill of all entries during a release, streams are refused (origin-lost) though two versions serve, as long as some caller uses ids that are not UTF-8, or none.

Origins are stored up to 100 to a transaction, with the caller's id as key. JSON makes three bytes of each that is not UTF-8, so that the key may exceed the store's 200 bytes; an empty key is none. The store rejects the whole transaction, which was then repeated for ever with the same ids.

Change: such ids are not stored. The store in memory for tests rejects keys as the platform's does.

--- a/fake/rows.go
+++ b/fake/rows.go
@@ -169,6 +169,11 @@
 			return table.ErrConflict
 		}
 	}
+	for _, pu := range tx.Puts {
+		if err := checkID(pu.ID); err != nil {
+			return err
+		}
+	}
 	ro.version++
 	ro.commits++
 	for _, pu := range tx.Puts {
@@ -186,6 +191,23 @@
 	return nil
 }
 
+// maxNameBytes is the longest table, part or key that the platform's store accepts.
+const maxNameBytes = 200
+
+// checkID returns an error for a row that the store rejects. JSON replaces each byte that is
+// not UTF-8 by a longer sequence.
+func checkID(id table.ID) error {
+	for _, name := range []string{id.Table, id.Part, id.Key} {
+		if len(string([]rune(name))) > maxNameBytes {
+			return errors.Newf("the name %.20q... is longer than %d bytes", name, maxNameBytes)
+		}
+	}
+	if id.Key == "" {
+		return errors.New("a row without a key")
+	}
+	return nil
+}
+
 func (ro *Rows) notify() {
 	if ro.changed != nil {
 		close(ro.changed)
--- a/intake/origin.go
+++ b/intake/origin.go
@@ -63,7 +63,7 @@
 	}
 	if _, found := or.byID[id]; !found {
 		or.ids = append(or.ids, id)
-		if own && len(id) <= origin.MaxIDBytes {
+		if own && origin.Storable(id) {
 			or.unstored = append(or.unstored, id)
 		}
 	}
--- a/intake/rejoin_test.go
+++ b/intake/rejoin_test.go
@@ -57,6 +57,40 @@
 	return whole, callers
 }
 
+// Guards against origins of streams that are never stored because the id of another one can't
+// be a key in the store, which rejects the whole transaction.
+func TestOddIDsDoNotBlockOrigins(t *testing.T) {
+	for name, odd := range map[string]string{
+		"not UTF-8": strings.Repeat("\xff", 100), "longest": strings.Repeat("x", origin.MaxIDBytes-2), "too long": strings.Repeat("x", 300), "none": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				whole, _ := rejoin(t, [2]string{"v1", "v2"}, func(cl *cluster) {
+					for range 6 {
+						ca := &caller{cluster: cl}
+						if odd == "" {
+							go ca.streamOnce("")
+						} else {
+							go ca.stream(odd)
+						}
+					}
+					time.Sleep(100 * time.Millisecond)
+				}, (*cluster).restartAll)
+				require.GreaterOrEqual(t, whole, 54, "streams with proper ids that went on")
+			})
+		})
+	}
+}
+
+// streamOnce requests a stream with an id as it is.
+func (ca *caller) streamOnce(id string) {
+	node, en := ca.cluster.anyEntry()
+	ca.gone = func() bool { return !ca.cluster.isCurrent(node, en) }
+	re := calls.Request{ID: id, Method: http.MethodPost, URI: "/chat/x", Host: "h", Header: http.Header{}, Deadline: time.Now().Add(20 * time.Second)}
+	re.Route, _, _ = en.FindRoute("h", "/chat/x")
+	_ = en.Stream(context.Background(), re, ca)
+}
+
 // removeOld removes the targets of v1 from the registry.
 func (cl *cluster) removeOld() {
 	cl.drop(targetTable, "desk1")
--- a/origin/rows.go
+++ b/origin/rows.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -26,6 +27,12 @@
 	MaxIDBytes = 200
 )
 
+// Storable reports whether the id of a stream, which its caller chose, can be the key of a
+// row. The store rejects a transaction as a whole if one key is invalid.
+func Storable(stream string) bool {
+	return stream != "" && len(stream) <= MaxIDBytes && utf8.ValidString(stream)
+}
+
 // keyName returns a name, or its digest if it is too long for a key.
 func keyName(name string) string {
 	if len(name) <= maxNameBytes {
