calls, runs: an end without an event is confirmed

Callers would see: a stream that broke off, was resumed at a target that answered 200 and ended in order without an event, and looked complete though it was not. Items were listed as completed with the first part of their text.

Cause: any end in order of a resumed stream or run was taken for the end of the text. It may be that, if only the end was lost before; nothing on the wire tells.

Change: such an end counts once a second target says the same, or the same one if there is no other. Without a further attempt the response is aborted, and its caller takes the stream up again. An item's next run is on another engine, if there is one.

--- a/calls/calls.go
+++ b/calls/calls.go
@@ -25,7 +25,8 @@
 //  7. A stream is forwarded event by event and never sent to two targets at once. A
 //     resumable stream continues at another target after its last complete event if
 //     the connection breaks or no event arrives for streamIdleTimeout. The caller sees
-//     one response with the headers of the first target.
+//     one response with the headers of the first target. An attempt that ends in order
+//     without an event completes the stream once a second one says so too.
 //  8. A stream that cannot continue is aborted, so that the caller never takes it for
 //     complete.
 //  9. A request that crashed poison.MaxDeaths targets, as counted over all entries, is
--- a/calls/stream.go
+++ b/calls/stream.go
@@ -55,6 +55,8 @@
 	// lastEventAt is the time of the last forwarded event, at first that of the request.
 	lastEventAt     time.Time
 	firstEventAfter time.Duration
+	// emptyEnds counts the attempts since the last event that ended in order without one.
+	emptyEnds int
 	// unrecorded is set if the last search left out a target where no stream may begin yet.
 	unrecorded bool
 }
@@ -142,6 +144,7 @@
 	var (
 		stalled atomic.Bool
 		first   time.Duration
+		events  int
 	)
 	idleLimit := st.firstEventTimeout(started)
 	progressAt := began
@@ -157,7 +160,7 @@
 			watch.Reset(max(idleLimit-idle, 0))
 			return err
 		}
-		if first == 0 {
+		if events++; events == 1 {
 			first = fo.Clock.Now().Sub(began)
 		}
 		if st.events == 0 {
@@ -169,6 +172,7 @@
 			return err
 		}
 		st.events++
+		st.emptyEnds = 0
 		progressAt = fo.Clock.Now()
 		st.lastEventID, st.lastEventAt = max(st.lastEventID, id), progressAt
 		idleLimit = st.re.Deadline.Sub(progressAt)
@@ -182,16 +186,34 @@
 		err = core.InDoubt(core.CodeTargetLost, "target %s sent no event on the stream within the time limit", ta.ID)
 	}
 	st.runs.ended(ta, core.AsError(err))
-	if first == 0 { // a stream without events was answered when it ended
+	if events == 0 { // a stream without events was answered when it ended
 		first = fo.Clock.Now().Sub(began)
 	}
 	ou := outcome{target: ta, err: core.AsError(err), took: first}
 	canceled := callerDisconnected(ou.err) || (ctx.Err() != nil && !stalled.Load())
 	fo.Balancer.end(fo.Clock.Now(), ta.ID, ou, canceled)
 	st.recordHealth(ou, canceled || stalled.Load())
+	if err == nil && events == 0 {
+		return st.confirmEnd(ta)
+	}
 	return err
 }
 
+// endConfirmations is the number of targets that must say that a stream is complete, if they
+// send no event of it.
+const endConfirmations = 2
+
+// confirmEnd decides about an attempt that ended in order without an event. The stream may
+// be complete, if only its end was lost before; or the target has failed, and the caller
+// would take what it has for the whole stream. So the end counts once another target
+// confirms it, or the same one if there is no other.
+func (st *stream) confirmEnd(ta fleet.Target) error {
+	if st.emptyEnds++; !repeatable(st.re.Route) || st.emptyEnds >= endConfirmations {
+		return nil
+	}
+	return core.InDoubt(core.CodeAnswerCut, "target %s ended the stream without an event after %d", ta.ID, st.lastEventID)
+}
+
 // recordFirstEvent measures the time to the first event, and has the entries remember where
 // a new stream began.
 func (st *stream) recordFirstEvent() {
--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -49,6 +49,12 @@
 	stalled map[string]bool
 	// hangFirst is set if the first run of each item hangs after its first event.
 	hangFirst bool
+	// emptyAfter is the number of runs of each item that resume its text and end in order
+	// without an event.
+	emptyAfter int
+	empty      map[string]int
+	// loseEnd is set if the first run of each item breaks after the last event.
+	loseEnd bool
 	// running counts the current runs of each item.
 	running map[string]int
 	// concurrent counts runs of an item that started while another run of it went on.
@@ -94,6 +100,11 @@
 		en.concurrent++
 	}
 	version, ending, hangs := en.version, en.fail[id], en.hangFirst && en.runs[id] == 1
+	endLost := en.loseEnd && en.runs[id] == 1
+	empty := rq.After > 0 && en.empty[id] < en.emptyAfter
+	if empty {
+		en.empty[id]++
+	}
 	en.mutex.Unlock()
 	defer func() {
 		en.mutex.Lock()
@@ -103,6 +114,9 @@
 	if ending != "" {
 		return runs.Outcome{Ending: ending, Detail: "configured to fail"}
 	}
+	if empty {
+		return runs.Outcome{Ending: runs.Complete}
+	}
 	software, _ := en.software.Load(ta.ID)
 	name, _ := software.(string)
 	for at := rq.After + 1; at <= length(id); at++ {
@@ -127,6 +141,9 @@
 			event(runs.Event{Data: fmt.Sprintf("%s-%d", id, at), Version: version})
 		}
 	}
+	if endLost {
+		return runs.Outcome{Ending: runs.Interrupted, Detail: "broken after the last event"}
+	}
 	return runs.Outcome{Ending: runs.Complete}
 }
 
@@ -409,7 +426,7 @@
 	t.Helper()
 	cl := &cluster{
 		t: t, firstStart: true, rows: &fake.Rows{}, sender: &sender{failing: map[string]bool{}, calls: map[string]int{}},
-		engines: &engines{version: 1, runs: map[string]int{}, running: map[string]int{}, fail: map[string]runs.Ending{}, stalled: map[string]bool{}, generated: map[string]int{}},
+		engines: &engines{version: 1, runs: map[string]int{}, running: map[string]int{}, fail: map[string]runs.Ending{}, stalled: map[string]bool{}, generated: map[string]int{}, empty: map[string]int{}},
 	}
 	cl.relay.Rows = cl.rows
 	cl.engines.software, cl.engines.origins = &cl.software, map[string]map[string]bool{}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -418,6 +418,27 @@
 	})
 }
 
+// Guards against texts that are listed as complete though an engine that resumed them ended
+// its response without an event. A text whose end was lost must be listed all the same.
+func TestEndWithoutEvent(t *testing.T) {
+	for name, set := range map[string]func(en *engines){
+		"the engine failed": func(en *engines) { en.hangFirst, en.emptyAfter = true, 1 },
+		"the end was lost":  func(en *engines) { en.loseEnd = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 1)
+				defer cl.stop()
+				set(cl.engines)
+				jo := job("j1", 4)
+				require.Nil(t, cl.submit(0, jo))
+				time.Sleep(place.AbandonTimeout + 8*time.Second)
+				cl.requireComplete(0, jo)
+			})
+		})
+	}
+}
+
 // Events of a weight version that is too old for the job are not listed.
 func TestOldVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/runs/job.go
+++ b/runs/job.go
@@ -147,8 +147,10 @@
 	resumed  bool
 	failures int
 	run      *run
-	// avoid is the engine from which the item last moved.
-	avoid     string
+	// avoid is the engine from which the item last moved, or that sent no event of its text.
+	avoid string
+	// emptyEnds counts the runs since the last event that ended in order without one.
+	emptyEnds int
 	notBefore time.Time
 	// For the log: the number of runs, the age of the job at the first one, and when
 	// the text was complete.
@@ -174,9 +176,24 @@
 	for _, ev := range events {
 		it.events = append(it.events, ev.Data)
 		it.versions = append(it.versions, ev.Version)
+		it.emptyEnds = 0
 	}
 }
 
+// endConfirmations is the number of runs that must say that a text is complete, if they send
+// no event of it.
+const endConfirmations = 2
+
+// endConfirmed reports whether a text is complete after a run on an engine ended in order
+// without an event. Either the end of the text was lost before, or the engine has failed,
+// and the text would be listed though it is not complete. The next run is on another
+// engine, if there is one.
+func (it *item) endConfirmed(en *engine) bool {
+	it.emptyEnds++
+	it.avoid = en.target.ID
+	return it.emptyEnds >= endConfirmations
+}
+
 // versionsFit reports whether the route accepts a text of these versions: some
 // routes require a single one.
 func (*item) versionsFit(route conf.Route, versions []uint64) bool {
@@ -221,7 +238,9 @@
 func (it *item) outputTokens() int { return (it.eventCount() + it.remainingEvents()) * tokensPerEvent }
 
 // reset discards the generated text.
-func (it *item) reset() { it.events, it.versions, it.software, it.complete = nil, nil, "", false }
+func (it *item) reset() {
+	it.events, it.versions, it.software, it.complete, it.emptyEnds = nil, nil, "", false, 0
+}
 
 // requiredSoftware returns the version of the software that can continue the text, empty if
 // any can.
--- a/runs/step.go
+++ b/runs/step.go
@@ -250,6 +250,9 @@
 	switch {
 	case it.complete: // a stored text was read in the meantime
 		ow.textComplete(jo, it)
+	case out.Ending == Complete && len(events) == 0 && len(it.events) > 0 && !it.endConfirmed(en):
+		logs.Info(ow.Logger, "end of a text not confirmed yet", "job", jo.body.ID, "id", it.item.ID, "engine", en.target.ID, "events", len(it.events))
+		ow.Meters.Count("ends-to-confirm", jo.route.Name, 1)
 	case out.Ending == Complete && len(it.events) == before+len(events) && len(it.events) > 0:
 		it.complete = true
 		ow.textComplete(jo, it)
--- a/soak/mutant_test.go
+++ b/soak/mutant_test.go
@@ -29,7 +29,7 @@
 
 var allMutants = []mutant{
 	{"a job is accepted once", []edit{{"batch/ledger.go", "Expect: []table.Expect{{ID: HeadID(job), Version: from.Version}},", ""}}},
-	{"a completed text is not truncated", []edit{{"runs/step.go", "case out.Ending == Complete && len(", "case (out.Ending == Complete || out.Ending == Interrupted) && len("}}},
+	{"a completed text is not truncated", []edit{{"runs/step.go", "case out.Ending == Complete && len(it.events) ==", "case (out.Ending == Complete || out.Ending == Interrupted) && len(it.events) =="}}},
 	{"an event occurs once", []edit{{"platform/target.go", "if rq.After > 0 {", "if rq.After > 1000 {"}}},
 	{"refused means not run", []edit{{"calls/calls.go", "} else if notRun {", "} else if true {"}}},
 	{"a request that may run once runs once", []edit{{"calls/calls.go", "if (mayHaveRun && !repeatable(at.re.Route)) ||", "if (mayHaveRun && false) ||"}}},
