--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -285,3 +285,34 @@
 		})
 	}
 }
+
+// An answer that is not one of a peer is an error: an empty page would make jobs and targets
+// seem to be gone.
+func TestForeignAnswerOfPeer(t *testing.T) {
+	for name, answer := range map[string]func(out http.ResponseWriter){
+		"text":    func(out http.ResponseWriter) { _, _ = out.Write([]byte("oops")) },
+		"nothing": func(http.ResponseWriter) {},
+		"JSON": func(out http.ResponseWriter) {
+			out.Header().Set("Content-Type", "application/json")
+			_, _ = out.Write([]byte("{}"))
+		},
+		"error":    func(out http.ResponseWriter) { out.WriteHeader(http.StatusBadGateway) },
+		"redirect": func(out http.ResponseWriter) { out.Header().Set("Location", "/x"); out.WriteHeader(http.StatusFound) },
+		"cut":      func(http.ResponseWriter) { panic(http.ErrAbortHandler) },
+		"other message": func(out http.ResponseWriter) {
+			out.Header().Set("Content-Type", "application/proto")
+			_, _ = out.Write([]byte{0xff, 0xff, 0xff})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			se := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) { answer(out) }))
+			defer se.Close()
+			cl := relay.NewClient(se.Client(), se.Listener.Addr().String())
+			_, err := cl.List(t.Context(), table.Range{Table: "t"})
+			require.Error(t, err)
+			_, err = cl.Commit(t.Context(), table.Tx{})
+			require.Error(t, err)
+			require.False(t, errors.Is(err, table.ErrRefused), "the write may have taken effect")
+		})
+	}
+}
