--- a/calls/stream.go
+++ b/calls/stream.go
@@ -144,8 +144,8 @@
 	var (
 		stalled atomic.Bool
 		first   time.Duration
-		events  int
 	)
+	before := st.events
 	idleLimit := st.firstEventTimeout(started)
 	progressAt := began
 	watch := time.AfterFunc(idleLimit, func() { stalled.Store(true); cancel() })
@@ -160,7 +160,7 @@
 			watch.Reset(max(idleLimit-idle, 0))
 			return err
 		}
-		if events++; events == 1 {
+		if first == 0 {
 			first = fo.Clock.Now().Sub(began)
 		}
 		if st.events == 0 {
@@ -186,29 +186,29 @@
 		err = core.InDoubt(core.CodeTargetLost, "target %s sent no event on the stream within the time limit", ta.ID)
 	}
 	st.runs.ended(ta, core.AsError(err))
-	if events == 0 { // a stream without events was answered when it ended
+	if first == 0 { // a stream without events was answered when it ended
 		first = fo.Clock.Now().Sub(began)
 	}
 	ou := outcome{target: ta, err: core.AsError(err), took: first}
 	canceled := callerDisconnected(ou.err) || (ctx.Err() != nil && !stalled.Load())
 	fo.Balancer.end(fo.Clock.Now(), ta.ID, ou, canceled)
 	st.recordHealth(ou, canceled || stalled.Load())
-	if err == nil && events == 0 {
-		return st.confirmEnd(ta)
-	}
-	return err
+	return st.confirmEnd(ta, err, st.events-before)
 }
 
 // endConfirmations is the number of targets that must say that a stream is complete, if they
 // send no event of it.
 const endConfirmations = 2
 
-// confirmEnd decides about an attempt that ended in order without an event. The stream may
-// be complete, if only its end was lost before; or the target has failed, and the caller
-// would take what it has for the whole stream. So the end counts once another target
-// confirms it, or the same one if there is no other.
-func (st *stream) confirmEnd(ta fleet.Target) error {
-	if st.emptyEnds++; !repeatable(st.re.Route) || st.emptyEnds >= endConfirmations {
+// confirmEnd returns the error of an attempt. One that ended in order without an event may
+// mean that the stream is complete, if only its end was lost before; or the target has
+// failed, and the caller would take what it has for the whole stream. So the end counts once
+// another target confirms it, or the same one if there is no other.
+func (st *stream) confirmEnd(ta fleet.Target, err error, events int) error {
+	if err != nil || events > 0 || !repeatable(st.re.Route) {
+		return err
+	}
+	if st.emptyEnds++; st.emptyEnds >= endConfirmations {
 		return nil
 	}
 	return core.InDoubt(core.CodeAnswerCut, "target %s ended the stream without an event after %d", ta.ID, st.lastEventID)
--- a/runs/step.go
+++ b/runs/step.go
@@ -244,18 +244,22 @@
 		return
 	}
 	it.run = nil
+	it.state, it.waitingSince = waiting, now
+	ow.continueItem(now, ru, out, events)
+	ow.place()
+}
+
+// continueItem appends the events of a run to the text of its item, and decides what the
+// item needs next.
+func (ow *Owner) continueItem(now time.Time, ru *run, out Outcome, events []Event) {
+	en, it, jo := ru.engine, ru.item, ru.job
 	before := len(it.events)
 	it.appendEvents(events, ru.software, jo.body.MinVersion)
-	it.state, it.waitingSince = waiting, now
 	switch {
 	case it.complete: // a stored text was read in the meantime
 		ow.textComplete(jo, it)
-	case out.Ending == Complete && len(events) == 0 && len(it.events) > 0 && !it.endConfirmed(en):
-		logs.Info(ow.Logger, "end of a text not confirmed yet", "job", jo.body.ID, "id", it.item.ID, "engine", en.target.ID, "events", len(it.events))
-		ow.Meters.Count("ends-to-confirm", jo.route.Name, 1)
 	case out.Ending == Complete && len(it.events) == before+len(events) && len(it.events) > 0:
-		it.complete = true
-		ow.textComplete(jo, it)
+		ow.textEnded(jo, it, en, len(events))
 	case out.Ending == Failed:
 		it.failures++
 		if it.failures >= max(jo.route.Attempts, 1) {
@@ -267,7 +271,17 @@
 		en.versions[jo.body.Model] = 0
 		it.notBefore = now.Add(refusedBackoff)
 	}
-	ow.place()
+}
+
+// textEnded handles a run that ended in order and sent the given number of events.
+func (ow *Owner) textEnded(jo *job, it *item, en *engine, events int) {
+	if events == 0 && !it.endConfirmed(en) {
+		logs.Info(ow.Logger, "end of a text not confirmed yet", "job", jo.body.ID, "id", it.item.ID, "engine", en.target.ID, "events", len(it.events))
+		ow.Meters.Count("ends-to-confirm", jo.route.Name, 1)
+		return
+	}
+	it.complete = true
+	ow.textComplete(jo, it)
 }
 
 // recordOutcome updates the backoff of the engine, or that of the item, after a run.
