--- a/intake/follow.go
+++ b/intake/follow.go
@@ -113,11 +113,13 @@
 	for _, ro := range rows {
 		if ro.Deleted {
 			deleted = append(deleted, ro.ID.Key)
+			delete(en.malformed, ro.ID.Key)
 			continue
 		}
 		ta, err := en.decoders.Target(ro)
 		if err == nil {
 			all = append(all, ta)
+			delete(en.malformed, ro.ID.Key)
 			continue
 		}
 		deleted = append(deleted, ro.ID.Key) // no usable target
