--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -410,6 +410,9 @@
 		},
 		Version: func(table.Row) (string, uint64, bool, error) { return "", 0, false, nil },
 		Target: func(ro table.Row) (fleet.Target, error) {
+			if !strings.HasPrefix(ro.ID.Key, "lm") && !strings.HasPrefix(ro.ID.Key, "desk") {
+				return fleet.Target{}, errors.Newf("row %q is of another writer", ro.ID.Key)
+			}
 			ta := fleet.Target{ID: ro.ID.Key, Addr: ro.ID.Key, Slots: 12, Service: "desk", StartedAt: cl.startedAt.Load()}
 			if software, found := cl.software.Load(ro.ID.Key); found {
 				ta.Software = software.(string)
