--- a/intake/places.go
+++ b/intake/places.go
@@ -221,7 +221,7 @@
 	if len(ev.Places) < 2 {
 		return ev
 	}
-	if id == "" || len(id) > origin.MaxIDBytes {
+	if !origin.Storable(id) {
 		ev.OriginRead = true // it is not stored
 		return ev
 	}
