intake: a place that is used again is not deleted

A report of other operators: streams that began on newer workers went on at another version at a machine that was out of step.

Callers would see a joined stream after a return to an earlier version: the entry that deletes the rows of expired places lists the joining targets late, deletes the row that another entry has just written again, and a later take-up finds only one place.

Cause: the condition of the deletion was the version of the row that had just been read, which includes the new write.

Change: a row is deleted only if searches have found it unchanged for Retention.

--- a/intake/places.go
+++ b/intake/places.go
@@ -36,12 +36,37 @@
 	// since is nil until the rows were listed; listed is closed then.
 	since  *origin.Since
 	listed chan struct{}
-	// dirty is set while the store may have rows that expire.
+	// dirty is set while the store may have rows that expire. rows are those that the last
+	// search found.
 	dirty bool
+	rows  map[table.ID]foundRow
 	// changed and unstored wake the goroutines that write places and origins.
 	changed, unstored chan struct{}
 }
 
+// foundRow is a version of a row and when a search found it first.
+type foundRow struct {
+	version uint64
+	at      time.Time
+}
+
+// unchanged returns the rows that have not been written for Retention, with their versions.
+func (pl *places) unchanged(now time.Time, rows []table.Row) map[table.ID]uint64 {
+	found, old := make(map[table.ID]foundRow, len(rows)), map[table.ID]uint64{}
+	for _, ro := range rows {
+		fr := pl.rows[ro.ID]
+		if fr.version != ro.Version {
+			fr = foundRow{version: ro.Version, at: now}
+		}
+		found[ro.ID] = fr
+		if now.Sub(fr.at) >= origin.Retention {
+			old[ro.ID] = ro.Version
+		}
+	}
+	pl.rows = found
+	return old
+}
+
 func newPlaces() *places {
 	return &places{dirty: true, listed: make(chan struct{}), changed: make(chan struct{}, 1), unstored: make(chan struct{}, 1)}
 }
@@ -359,17 +384,20 @@
 	}
 	en.places.recorded(now, en.decodePlaces(page.Rows)...)
 	en.places.mutex.Lock()
+	// An entry that uses a place again writes its row again. This one may not list the
+	// targets of the place yet.
+	versions := en.places.unchanged(now, page.Rows)
 	expired := en.places.known.Expired(now)
 	left = en.places.known.Unused()
 	en.places.mutex.Unlock()
-	versions := map[table.ID]uint64{}
-	for _, ro := range page.Rows {
-		versions[ro.ID] = ro.Version
-	}
 	for _, pa := range expired {
 		id := pa.ID()
-		// An entry that uses the place again writes its row again.
-		err := en.write(ctx, table.Tx{Expect: []table.Expect{{ID: id, Version: versions[id]}}, Drops: []table.ID{id}})
+		version, old := versions[id]
+		if !old {
+			left = true
+			continue
+		}
+		err := en.write(ctx, table.Tx{Expect: []table.Expect{{ID: id, Version: version}}, Drops: []table.ID{id}})
 		logs.Info(en.logger, "place of streams expired", "route", pa.Route, "service", pa.Service, "software", pa.Software, "err", err)
 		if err != nil && !errors.Is(err, table.ErrConflict) {
 			return true, errors.Wrap(err, "delete a place")
