calls, intake: a version that is not listed yet is not gone for good

Callers saw: during a release, take-ups at an entry that was out of step (store cut, or its list of targets late) were refused for good though the targets of their version served.

Cause: a version that an entry had never listed counted as one that left before the entry started.

Change: before a final refusal the registry is read for this decision; calls that come together share a read. If it has the version, or does not answer, the caller gets a Retry-After.

--- a/calls/origin.go
+++ b/calls/origin.go
@@ -29,6 +29,9 @@
 	// empty if the caller did not say. Its errors have the code unknown-origin and a
 	// retry-after time while the origin may become known, and origin-lost if not.
 	Find(ctx context.Context, ro conf.Route, id string) (Origin, *core.Error)
+	// Serves reports whether a target of an origin takes work, by the rows of the registry
+	// as they are at the time of the call. The list that this process follows may be behind.
+	Serves(ctx context.Context, or Origin) (bool, error)
 }
 
 const (
@@ -36,6 +39,9 @@
 	// begin at a target of a new software version, and recordInterval how often it looks.
 	recordPatience = 0.25
 	recordInterval = 10 * time.Millisecond
+	// lateListRetryAfter is when a caller returns whose stream began at a software version
+	// that this process has not listed yet.
+	lateListRetryAfter = 300 * time.Millisecond
 )
 
 // findOrigin determines the software version that continues a stream which the caller
@@ -50,7 +56,7 @@
 		origin, err = fo.Origins.Find(ctx, re.Route, re.Resumes)
 	}
 	if err == nil {
-		err = st.keepTo(origin)
+		err = st.keepTo(ctx, origin)
 	}
 	if err != nil {
 		logs.Warn(fo.Logger, "stream of a caller not resumed", "id", re.ID, "resumes", re.Resumes, "after", re.LastEventID,
@@ -63,20 +69,28 @@
 }
 
 // keepTo restricts a stream to the targets that can continue it. Its error is final if
-// there will be none.
-func (st *stream) keepTo(origin Origin) *core.Error {
+// there will be none, which the registry must confirm.
+func (st *stream) keepTo(ctx context.Context, origin Origin) *core.Error {
 	fo := st.fo
 	if !routes(st.re.Route, origin.Service) {
 		return core.Refuse(core.CodeOriginGone, "route %s no longer uses the service that began the stream", st.re.Route.Name)
 	}
 	st.service = origin.Service
 	st.bind(origin.Software)
-	if gone, known := fo.Balancer.goneFor(fo.Clock.Now(), origin); known && gone >= fleet.RecoveryWindow {
-		return core.Refuse(core.CodeOriginGone, "software version %s, which began the stream, serves no longer", origin.Software)
-	} else if known && gone > 0 {
+	gone, known := fo.Balancer.goneFor(fo.Clock.Now(), origin)
+	if !known || gone == 0 {
+		return nil
+	}
+	if gone < fleet.RecoveryWindow {
 		return core.Refuse(core.CodeFull, "no target of software version %s at present", origin.Software).WithRetryAfter(fleet.RecoveryWindow - gone + minRetryAfter)
 	}
-	return nil
+	serves, err := fo.Origins.Serves(ctx, origin)
+	if err == nil && !serves {
+		return core.Refuse(core.CodeOriginGone, "software version %s, which began the stream, serves no longer", origin.Software)
+	}
+	logs.Info(fo.Logger, "software version not listed here", "id", st.re.ID, "service", origin.Service, "software", origin.Software,
+		"gone", gone, "serves", serves, "err", err)
+	return core.Refuse(core.CodeFull, "no target of software version %s is listed yet", origin.Software).WithRetryAfter(lateListRetryAfter)
 }
 
 // bind restricts the attempts to targets of a software version.
--- a/calls/origin_test.go
+++ b/calls/origin_test.go
@@ -33,6 +33,8 @@
 	}
 }
 
+func (originMap) Serves(context.Context, calls.Origin) (bool, error) { return false, nil }
+
 // listSoftware has the forwarder know targets t1, t2 ... with these software versions.
 func listSoftware(fo *calls.Forwarder, versions ...string) map[string]string {
 	var all []fleet.Target
@@ -137,6 +139,44 @@
 	})
 }
 
+// registry is calls.Origins with what the registry says of every origin.
+type registry struct {
+	originMap
+	serves bool
+	err    error
+}
+
+func (rg registry) Serves(context.Context, calls.Origin) (bool, error) { return rg.serves, rg.err }
+
+// Guards against a final refusal by an entry whose list of targets is behind: the version
+// joined while the entry was out of step.
+func TestVersionNotListedYet(t *testing.T) {
+	for name, tc := range map[string]struct {
+		rg   registry
+		code core.Code
+	}{
+		"in the registry":     {registry{serves: true}, core.CodeFull},
+		"registry not read":   {registry{err: context.DeadlineExceeded}, core.CodeFull},
+		"not in the registry": {registry{}, core.CodeOriginGone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fo := newForwarder(&fakeTargets{}, 0)
+				tc.rg.originMap = originMap{"first": {Service: "desk", Software: "v2"}}
+				fo.Streamer, fo.Origins = &fakeStreamer{}, tc.rg
+				listSoftware(fo, "v1", "v1")
+				time.Sleep(fleet.RecoveryWindow + time.Second)
+				re := request(conf.Stream, 10*time.Second)
+				re.Route.Resumable, re.LastEventID, re.Resumes = true, 3, "first"
+				err := fo.Stream(context.Background(), re, &sink{})
+				require.Equal(t, tc.code, err.Code)
+				require.Equal(t, core.NotRun, err.Verdict)
+				require.Equal(t, tc.code == core.CodeOriginGone, err.RetryAfter == 0, "only a final refusal has no retry-after time")
+			})
+		})
+	}
+}
+
 // waitingOrigins lets streams begin from a time on.
 type waitingOrigins struct {
 	originMap
--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -270,6 +270,9 @@
 	refused string
 	// latency is the time that each call takes.
 	latency time.Duration
+	// slow is a table whose reads take slowness longer.
+	slow     string
+	slowness time.Duration
 	// hidden are the keys of rows of targets that lists leave out.
 	hidden map[string]bool
 }
@@ -280,6 +283,28 @@
 	li.refused = name
 }
 
+func (li *link) slowDown(name string, by time.Duration) {
+	li.mutex.Lock()
+	defer li.mutex.Unlock()
+	li.slow, li.slowness = name, by
+}
+
+// pause waits if a table is slow.
+func (li *link) pause(ctx context.Context, name string) error {
+	li.mutex.Lock()
+	by := li.slowness
+	if li.slow != name {
+		by = 0
+	}
+	li.mutex.Unlock()
+	select {
+	case <-time.After(by):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (li *link) setError(err error) {
 	li.mutex.Lock()
 	defer li.mutex.Unlock()
@@ -327,6 +352,9 @@
 		return table.Page{}, err
 	}
 	page, err := li.Rows.List(ctx, ra)
+	if failed := li.pause(ctx, ra.Table); failed != nil {
+		return table.Page{}, failed
+	}
 	li.mutex.Lock()
 	defer li.mutex.Unlock()
 	page.Rows = slices.DeleteFunc(page.Rows, func(ro table.Row) bool { return ra.Table == targetTable && li.hidden[ro.ID.Key] })
@@ -337,19 +365,25 @@
 	if err := li.check(ctx, name); err != nil {
 		return table.Page{}, err
 	}
-	return li.Rows.Watch(ctx, name, after, wait)
+	page, err := li.Rows.Watch(ctx, name, after, wait)
+	if failed := li.pause(ctx, name); failed != nil {
+		return table.Page{}, failed
+	}
+	return page, err
 }
 
 // cluster is several entries that share one store.
 type cluster struct {
-	t       *testing.T
-	rows    *fake.Rows
-	engines *engines
-	sender  *sender
-	entries []*intake.Entry
-	clients []*announcer
-	links   []*link
-	ended   []chan struct{}
+	t    *testing.T
+	rows *fake.Rows
+	// linkFaults maps a calling and a called node to the fault of their link.
+	linkFaults sync.Map
+	engines    *engines
+	sender     *sender
+	entries    []*intake.Entry
+	clients    []*announcer
+	links      []*link
+	ended      []chan struct{}
 	// startedAt is the start time of the targets, as the registry lists it.
 	startedAt atomic.Int64
 	// limits maps a target to the quota.Limit that it names.
@@ -510,21 +544,73 @@
 	}
 }
 
-// starter, issuer and origins return a client of the entry at an inner address.
-func (cl *cluster) starter(addr string) intake.Starter      { return cl.peer(addr) }
-func (cl *cluster) issuer(addr string) intake.Issuer        { return cl.peer(addr) }
-func (cl *cluster) origins(addr string) intake.OriginClient { return cl.peer(addr) }
+// starter and issuer return a client of the entry at an inner address.
+func (cl *cluster) starter(addr string) intake.Starter { return cl.peer(addr) }
+func (cl *cluster) issuer(addr string) intake.Issuer   { return cl.peer(addr) }
 
 func (cl *cluster) peer(addr string) *peer {
 	at, err := strconv.Atoi(strings.TrimPrefix(addr, "n"))
 	require.NoError(cl.t, err)
-	return &peer{cluster: cl, at: at}
+	return &peer{cluster: cl, at: at, from: -1}
+}
+
+// originsOf returns the clients of a node for the origins that other entries keep.
+func (cl *cluster) originsOf(node int) func(addr string) intake.OriginClient {
+	return func(addr string) intake.OriginClient {
+		pe := cl.peer(addr)
+		pe.from = node
+		return pe
+	}
+}
+
+// linkFault is a fault of the link from a node to another one.
+type linkFault string
+
+const (
+	noLink     linkFault = "no link"     // requests are lost
+	noResponse linkFault = "no response" // requests arrive, responses are lost
+)
+
+// breakLinks sets the fault of all links from a node, or ends it.
+func (cl *cluster) breakLinks(node int, fault linkFault) {
+	for other := range cl.entries {
+		cl.linkFaults.Store([2]int{node, other}, fault)
+	}
+}
+
+// isolate cuts the links between a node and all others, both ways, or restores them.
+func (cl *cluster) isolate(node int, fault linkFault) {
+	cl.breakLinks(node, fault)
+	for other := range cl.entries {
+		cl.linkFaults.Store([2]int{other, node}, fault)
+	}
 }
 
 // peer is a client of another entry. It fails once that entry has ended.
 type peer struct {
 	cluster *cluster
 	at      int
+	// from is the calling node, or -1.
+	from int
+}
+
+// call calls an entry, unless the link is faulty.
+func call[Response any](ctx context.Context, pe *peer, do func(en *intake.Entry) (*Response, error)) (*Response, error) {
+	fault, _ := pe.cluster.linkFaults.Load([2]int{pe.from, pe.at})
+	if fault == noLink {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	en, err := pe.entry()
+	if err != nil {
+		return nil, err
+	}
+	res, err := do(en)
+	if fault == noResponse {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return res, err
 }
 
 // entry returns the entry, or an error once it has ended.
@@ -546,22 +632,14 @@
 }
 
 func (pe *peer) RecordOrigin(ctx context.Context, req *wire.RecordOriginRequest) (*wire.RecordOriginResponse, error) {
-	en, err := pe.entry()
-	if err != nil {
-		return nil, err
-	}
 	if pe.cluster.unshared.Load() {
 		return nil, errors.New("connection reset")
 	}
-	return en.RecordOrigin(ctx, req)
+	return call(ctx, pe, func(en *intake.Entry) (*wire.RecordOriginResponse, error) { return en.RecordOrigin(ctx, req) })
 }
 
 func (pe *peer) FindOrigin(ctx context.Context, req *wire.FindOriginRequest) (*wire.FindOriginResponse, error) {
-	en, err := pe.entry()
-	if err != nil {
-		return nil, err
-	}
-	return en.FindOrigin(ctx, req)
+	return call(ctx, pe, func(en *intake.Entry) (*wire.FindOriginResponse, error) { return en.FindOrigin(ctx, req) })
 }
 
 func (pe *peer) Permits(ctx context.Context, req *wire.PermitsRequest) (*wire.PermitsResponse, error) {
@@ -615,7 +693,7 @@
 	an := &announcer{engines: cl.engines, sender: cl.sender, departures: &fleet.Departures{}, rates: &quota.Limits{}, limits: &cl.limits, started: map[string][]time.Time{}}
 	en := intake.New(
 		intake.Settings{Node: "n" + strconv.Itoa(node), Domain: "d", Inner: "n" + strconv.Itoa(node), Grace: 8 * time.Second, FirstStart: cl.firstStart},
-		intake.Ports{Direct: li, Sender: an, Engine: an, Departures: an.departures, Rates: an.rates, Issuer: cl.issuer, Origins: cl.origins, Streamer: an, Dial: cl.dial, Configs: cl.configs, Starter: cl.starter, Boot: &cl.boot},
+		intake.Ports{Direct: li, Sender: an, Engine: an, Departures: an.departures, Rates: an.rates, Issuer: cl.issuer, Origins: cl.originsOf(node), Streamer: an, Dial: cl.dial, Configs: cl.configs, Starter: cl.starter, Boot: &cl.boot},
 		cl.decoders(), core.SystemClock{}, cl.logger, &meter.Set{},
 	)
 	ended := make(chan struct{})
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -93,12 +93,13 @@
 	freshness  *fleet.Freshness
 	rates      *quota.Limits
 	// permitIssuer issues the permits of the targets that this entry is responsible for.
-	permitIssuer quota.Issuer
-	issuer       func(addr string) Issuer
-	origins      origins
-	places       *places
-	originClient func(addr string) OriginClient
-	configPeer   func(addr string) ConfigPeer
+	permitIssuer  quota.Issuer
+	issuer        func(addr string) Issuer
+	origins       origins
+	registryReads registryReads
+	places        *places
+	originClient  func(addr string) OriginClient
+	configPeer    func(addr string) ConfigPeer
 	// publishing is held while the targets are published, so that an older list never
 	// replaces a newer one.
 	publishing sync.Mutex
--- a/intake/origin.go
+++ b/intake/origin.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bilberryshelf/calls"
 	"bilberryshelf/conf"
 	"bilberryshelf/core"
@@ -13,6 +15,7 @@
 	"bilberryshelf/logs"
 	"bilberryshelf/member"
 	"bilberryshelf/origin"
+	"bilberryshelf/table"
 	"bilberryshelf/wire"
 )
 
@@ -111,6 +114,45 @@
 	}
 }
 
+// registryReads shares reads of the registry: a read serves all calls that came before it
+// began. The zero value is ready to use.
+type registryReads struct {
+	once sync.Once
+	// turn is held by the call that reads.
+	turn   chan struct{}
+	began  time.Time
+	served map[calls.Origin]bool
+}
+
+// Serves reads the rows of the targets, and reports whether one of an origin takes work.
+func (en *Entry) Serves(ctx context.Context, or calls.Origin) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, originReadTimeout)
+	defer cancel()
+	rr, asked := &en.registryReads, en.clock.Now()
+	rr.once.Do(func() { rr.turn = make(chan struct{}, 1) })
+	select {
+	case rr.turn <- struct{}{}:
+		defer func() { <-rr.turn }()
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+	if rr.began.After(asked) {
+		return rr.served[or], nil
+	}
+	began := en.clock.Now()
+	page, err := table.ListAll(ctx, en.store, table.Range{Table: en.decoders.TargetTable})
+	if err != nil {
+		return false, errors.Wrap(err, "read the registry")
+	}
+	rr.began, rr.served = began, map[calls.Origin]bool{}
+	for _, ro := range page.Rows {
+		if ta, err := en.decoders.Target(ro); err == nil && !ta.Draining { // decodeTargets logs errors
+			rr.served[calls.Origin{Service: ta.Service, Software: ta.Software}] = true
+		}
+	}
+	return rr.served[or], nil
+}
+
 // replicas returns the first entries of those that keep the origin of a stream.
 func (en *Entry) replicas(id string, count int) []member.Record {
 	en.mutex.Lock()
--- a/intake/scale_test.go
+++ b/intake/scale_test.go
@@ -71,7 +71,7 @@
 	an := &announcer{engines: cl.engines, sender: cl.sender, departures: &fleet.Departures{}, rates: &quota.Limits{}, limits: &cl.limits, started: map[string][]time.Time{}}
 	en := intake.New(intake.Settings{Node: name, Domain: "d", Inner: name, Grace: 8 * time.Second, Duties: ds},
 		intake.Ports{
-			Direct: cl.rows, Sender: an, Engine: an, Departures: an.departures, Rates: an.rates, Issuer: cl.issuer, Origins: cl.origins,
+			Direct: cl.rows, Sender: an, Engine: an, Departures: an.departures, Rates: an.rates, Issuer: cl.issuer, Origins: cl.originsOf(node),
 			Streamer: an, Dial: func(string) table.Client { return cl.rows }, Starter: cl.starter, Duties: od,
 		}, de, core.SystemClock{}, log.NewNopLogger(), &meter.Set{})
 	ended := make(chan struct{})
--- a/intake/usage_test.go
+++ b/intake/usage_test.go
@@ -158,7 +158,7 @@
 	en := intake.New(
 		intake.Settings{Node: name, Domain: "d", Inner: name, Grace: 8 * time.Second, Duties: intake.DutySettings{Instance: name, Usage: true}},
 		intake.Ports{
-			Direct: rows, Sender: an, Engine: an, Departures: an.departures, Rates: an.rates, Issuer: cl.issuer, Origins: cl.origins, Streamer: an,
+			Direct: rows, Sender: an, Engine: an, Departures: an.departures, Rates: an.rates, Issuer: cl.issuer, Origins: cl.originsOf(node), Streamer: an,
 			Dial: func(string) table.Client { return cl.rows }, Starter: cl.starter, Duties: reporter{rs, node},
 		},
 		cl.decoders(), clock, log.NewNopLogger(), &meter.Set{},
