sheet: a book that no entry could read is refused

Operators would see: an accepted sheet comes into force nowhere.

Cause: the class of the large jobs and the odd texts. A book was committed as soon as it could be encoded; the decoder has limits on bytes and elements, and refuses names that are not UTF-8. Sheets restrict names; trainers and API calls change books too.

Change: the encoded book is decoded before it is committed.

Evidence: TestUnreadableBookIsRefused, three cases, failed before.

--- a/sheet/accept.go
+++ b/sheet/accept.go
@@ -180,6 +180,9 @@
 	if err != nil {
 		return loan.Book{}, "", core.Refuse(core.CodeBadRequest, "%v", err)
 	}
+	if _, err := loan.DecodeBook(raw); err != nil { // it may exceed a limit of the decoder
+		return loan.Book{}, "", core.Refuse(core.CodeBadRequest, "no entry could read the book: %v", err)
+	}
 	object := fmt.Sprintf("%s%d-%s", objectPrefix, next.Generation, next.Operation)
 	if err := ac.Objects.Write(ctx, object, raw); err != nil {
 		return loan.Book{}, attemptPlatformDown, nil
--- a/sheet/accept_test.go
+++ b/sheet/accept_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -322,6 +323,33 @@
 
 // During an outage the verdict must be not-run if no transaction was sent, and
 // may-have-run otherwise.
+// Guards against an accepted book that no entry can read: more targets than the decoder
+// permits, more bytes, a name that is not UTF-8. The book before stays in force.
+func TestUnreadableBookIsRefused(t *testing.T) {
+	for name, spoil := range map[string]func(bo *loan.Book){
+		"targets": func(bo *loan.Book) { bo.Targets = make([]loan.Target, 140000) },
+		"bytes":   func(bo *loan.Book) { bo.Targets = []loan.Target{{Name: strings.Repeat("x", 65<<20)}} },
+		"name":    func(bo *loan.Book) { bo.Loans = append(bo.Loans, loan.Loan{ID: "a\xff"}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ac := acceptor(newPlatform(healthy))
+				_, er := ac.Accept(t.Context(), "op1", "ana", func(bo loan.Book) (loan.Book, *core.Error) { return bo, nil })
+				require.Nil(t, er)
+				_, er = ac.Accept(t.Context(), "op2", "ana", func(bo loan.Book) (loan.Book, *core.Error) {
+					spoil(&bo)
+					return bo, nil
+				})
+				require.NotNil(t, er)
+				require.Equal(t, core.NotRun, er.Verdict)
+				bo, err := ac.Load(t.Context())
+				require.NoError(t, err)
+				require.EqualValues(t, 1, bo.Generation)
+			})
+		})
+	}
+}
+
 func TestOutage(t *testing.T) {
 	for _, tc := range []struct {
 		name    string
