runs: an end is confirmed for one text only

Found when the change was read again: after a run without an event a longer stored text may replace the item's; the next such run then counted as the second one, and the longer text would have been listed as complete after one.

Change: the count begins anew with the text.

Evidence: TestEndIsConfirmedForOneText failed before for a stored text.

--- a/runs/job.go
+++ b/runs/job.go
@@ -125,6 +125,7 @@
 			it.run.cancel()
 		}
 		it.events, it.versions, it.software, it.resumed, it.complete = pa.Events, pa.Versions, pa.Software, true, pa.Complete
+		it.emptyEnds = 0
 		used++
 	}
 	return used
--- a/runs/job_test.go
+++ b/runs/job_test.go
@@ -158,3 +158,28 @@
 	it.item.Hint, it.events = 1000*tokensPerEvent, nil
 	require.Equal(t, 200, it.remainingEvents(), "no more than the request permits")
 }
+
+// An end without an event counts for the text that the item had: not for a longer one that was
+// read from the store since, nor for one that was continued or begun anew.
+func TestEndIsConfirmedForOneText(t *testing.T) {
+	en := &engine{target: fleet.Target{ID: "e1"}}
+	for name, change := range map[string]func(jo *job, it *item){
+		"stored text": func(jo *job, it *item) {
+			jo.reuse(map[string]batch.Partial{it.item.ID: {ID: it.item.ID, Events: make([]string, 9), Versions: []uint64{2, 2, 2, 2, 2, 2, 2, 2, 2}}}, func(string) bool { return true })
+			require.Len(t, it.events, 9)
+		},
+		"continued":  func(_ *job, it *item) { it.appendEvents([]Event{{Data: "b", Version: 2}}, "v1", 2) },
+		"begun anew": func(_ *job, it *item) { it.reset() },
+		"as it was":  nil,
+	} {
+		jo := step(1, "g")
+		it := jo.items[0]
+		it.appendEvents([]Event{{Data: "a", Version: 2}}, "v1", 2)
+		require.False(t, it.endConfirmed(en), name)
+		if change != nil {
+			change(jo, it)
+		}
+		require.Equal(t, change == nil, it.endConfirmed(en), name)
+		require.Equal(t, "e1", it.avoid)
+	}
+}
