runs: a stored text does not hold the events of the run that it replaced

Cause, by the code: an adopted item's text is replaced by a longer stored one and its run is canceled; until the run had ended, the texts to save had that run's events appended.

Change: a run whose events were given up has none to save. The end in order of such a run does not complete the stored text, which may be partial.

Evidence: TestReplacedTextDoesNotHoldEventsOfItsRun failed before.

--- a/runs/engine.go
+++ b/runs/engine.go
@@ -139,7 +139,10 @@
 	// superseded is set when the loop canceled the run and the item continues without
 	// it.
 	superseded bool
-	startedAt  time.Time
+	// replaced is set when the text of the item was replaced by a stored one during the run,
+	// which then says nothing about the text.
+	replaced  bool
+	startedAt time.Time
 	// software is the version of the engine's software.
 	software string
 	// sample is what the long-run pace of the engine has counted of this run.
@@ -186,10 +189,13 @@
 	return len(ru.events)
 }
 
-// snapshot returns a copy of the events so far.
+// snapshot returns a copy of the events so far, none if they were taken or given up.
 func (ru *run) snapshot() []Event {
 	ru.mutex.Lock()
 	defer ru.mutex.Unlock()
+	if ru.closed {
+		return nil
+	}
 	return slices.Clone(ru.events)
 }
 
--- a/runs/job.go
+++ b/runs/job.go
@@ -121,7 +121,7 @@
 		}
 		if it.run != nil {
 			it.run.finish() // the stored text is longer
-			it.run.superseded = true
+			it.run.superseded, it.run.replaced = true, true
 			it.run.cancel()
 		}
 		it.events, it.versions, it.software, it.resumed, it.complete = pa.Events, pa.Versions, pa.Software, true, pa.Complete
--- a/runs/job_test.go
+++ b/runs/job_test.go
@@ -20,7 +20,7 @@
 	for at, gr := range groups {
 		body.Items = append(body.Items, batch.Item{ID: gr + string(rune('0'+at)), Group: gr})
 	}
-	return newJob(body, batch.VersionedHead{}, conf.Route{Name: "r", Shares: []conf.Share{{Service: "lm"}}}, nil)
+	return newJob(body, batch.VersionedHead{}, conf.Route{Name: "r", Attempts: 3, Shares: []conf.Share{{Service: "lm"}}}, nil)
 }
 
 // runOn starts an item on an engine, with events at the engine's pace.
@@ -183,3 +183,32 @@
 		require.Equal(t, "e1", it.avoid)
 	}
 }
+
+// Guards against events that stand twice in a text: a stored text replaces that of an item
+// while a run of it goes on, and the texts are saved, or the job is dropped, before the run has
+// ended. The end of that run does not complete the stored text either.
+func TestReplacedTextDoesNotHoldEventsOfItsRun(t *testing.T) {
+	for _, ending := range []Ending{Interrupted, Complete, Failed, Refused} {
+		jo := step(1, "a")
+		it := jo.items[0]
+		en := newEngine(fleet.Target{ID: "e"})
+		runOn(it, en, 3)
+		ru := it.run
+		ru.job = jo
+		stored := batch.Partial{ID: it.item.ID, Events: []string{"1", "2", "3", "4", "5", "6", "7", "8"}, Versions: []uint64{2, 2, 2, 2, 2, 2, 2, 2}}
+		jo.reuse(map[string]batch.Partial{it.item.ID: stored}, func(string) bool { return true })
+		require.Equal(t, stored.Events, it.events)
+		ru.add(start, Event{Data: "late", Version: 2})
+		pa, found := it.partial(jo)
+		require.True(t, found)
+		require.Equal(t, stored.Events, pa.Events)
+		require.Len(t, pa.Versions, len(stored.Events))
+
+		it.run, it.state = nil, waiting
+		new(Owner).continueItem(start, ru, Outcome{Ending: ending}, ru.finish())
+		require.Equal(t, waiting, it.state, ending)
+		require.False(t, it.complete)
+		require.Equal(t, ending == Failed, it.failures == 1, "the engine ran the item")
+		require.Equal(t, stored.Events, it.events)
+	}
+}
--- a/runs/step.go
+++ b/runs/step.go
@@ -258,6 +258,7 @@
 	switch {
 	case it.complete: // a stored text was read in the meantime
 		ow.textComplete(jo, it)
+	case ru.replaced && out.Ending == Complete: // the text is another one now
 	case out.Ending == Complete && len(it.events) == before+len(events) && len(it.events) > 0:
 		ow.textEnded(jo, it, en, len(events))
 	case out.Ending == Failed:
