--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 go build -ldflags=-linkmode=external -o target/standin2 ./review/_standin2
+go build -ldflags=-linkmode=external -o target/standin3 ./review/_standin3
