--- a/review/_standin2/adopted.go
+++ b/review/_standin2/adopted.go
@@ -16,7 +16,7 @@
 		trainers = 7
 		steps    = 2
 		count    = 2048
-		size     = 4500
+		size     = 5500
 		limit    = 164
 		fronts   = 7
 		deadline = 80 * time.Second
