intake: a stopping entry refuses requests that may outlast it

Cause: a stopping entry passed every request on and shortened its deadline to 0.3 s before the end of the grace period. The caller's deadline was later, so that the request was cut off by the entry alone.

Change: from 2.5 s after the signal, when the load balancer has taken the entry out, Entry.Admit refuses a request whose deadline (the shorter limit of caller and route) is later than the last answers: 503, not run, Retry-After 50 ms. What is admitted can use all of its time.

Ruled out: refusing from the signal on. Until the load balancer notices, all clients come here, and most streams end long before the grace period does.

--- a/intake/calls.go
+++ b/intake/calls.go
@@ -14,19 +14,25 @@
 
 // Call serves a request whose response is not streamed.
 func (en *Entry) Call(ctx context.Context, re calls.Request) (calls.Response, *core.Error) {
+	if refused := en.Admit(re.Deadline); refused != nil {
+		return calls.Response{}, refused
+	}
 	return en.forwarder.Do(ctx, en.limitDeadline(re))
 }
 
 // Stream serves a request whose response is a stream of events.
 func (en *Entry) Stream(ctx context.Context, re calls.Request, sink calls.Sink) *core.Error {
+	if refused := en.Admit(re.Deadline); refused != nil {
+		return refused
+	}
 	return en.forwarder.Stream(ctx, en.limitDeadline(re), sink)
 }
 
 // limitDeadline returns the request with a deadline that this process lives to see, if it
 // is stopping: a request that it accepts must get an answer.
 func (en *Entry) limitDeadline(re calls.Request) calls.Request {
-	if endsAt := en.endsAt.Load(); endsAt != nil && endsAt.Before(re.Deadline) {
-		re.Deadline = *endsAt
+	if dr := en.drain.Load(); dr != nil && dr.endsAt.Before(re.Deadline) {
+		re.Deadline = dr.endsAt
 	}
 	return re
 }
--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -187,6 +187,13 @@
 	return calls.Response{Status: http.StatusOK, Stamp: "score-" + re.ID}, nil
 }
 
+// count returns how often the targets ran a request.
+func (se *sender) count(id string) int {
+	se.mutex.Lock()
+	defer se.mutex.Unlock()
+	return se.calls[id]
+}
+
 // announcer is an entry's client of the targets. It reports those that leave and records
 // when each target got a request.
 type announcer struct {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -83,11 +83,11 @@
 	operator operatorView
 	ready    atomic.Bool
 	stopping atomic.Bool
-	// endsAt is the time by which requests must be answered once the entry is stopping.
-	endsAt atomic.Pointer[time.Time]
-	ctx    context.Context
-	stop   context.CancelFunc
-	done   chan struct{}
+	// drain is set once the entry is stopping.
+	drain atomic.Pointer[drainTimes]
+	ctx   context.Context
+	stop  context.CancelFunc
+	done  chan struct{}
 
 	departures *fleet.Departures
 	freshness  *fleet.Freshness
--- a/intake/stop.go
+++ b/intake/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"bilberryshelf/core"
 	"bilberryshelf/logs"
 	"bilberryshelf/member"
 	"bilberryshelf/table"
@@ -22,10 +23,37 @@
 	// minDrainTime is the least time that an entry keeps serving after a stop signal:
 	// two readiness probes of the load balancer and the requests in flight.
 	minDrainTime = 3500 * time.Millisecond
+	// admitAllTime is how long after a stop signal the entry accepts requests of any length.
+	// By then the load balancer, which probes each second and needs two misses, sends new
+	// connections elsewhere, so that a client that is refused reaches another entry.
+	admitAllTime = 2500 * time.Millisecond
+	// drainRetryAfter is the Retry-After of a request that a stopping entry refuses. Other
+	// entries can take it at once.
+	drainRetryAfter = 50 * time.Millisecond
 	// drainPoll is the pause between checks whether all jobs have ended.
 	drainPoll = 100 * time.Millisecond
 )
 
+// drainTimes are the times of a stop.
+type drainTimes struct {
+	// admitAllUntil is when the entry begins to refuse requests that may outlast it.
+	admitAllUntil time.Time
+	// endsAt is the time by which requests must be answered.
+	endsAt time.Time
+}
+
+// Admit refuses a request that a stopping entry may be unable to finish: a request that is
+// passed on must be answered whole, and only a refusal at once tells the caller of a request
+// that may run once that it can be sent again.
+func (en *Entry) Admit(deadline time.Time) *core.Error {
+	dr := en.drain.Load()
+	if dr == nil || !deadline.After(dr.endsAt) || en.clock.Now().Before(dr.admitAllUntil) {
+		return nil
+	}
+	en.meters.Count("requests-refused-draining", "", 1)
+	return core.Refuse(core.CodeDraining, "this entry is stopping and ends %v before the deadline of the request", deadline.Sub(dr.endsAt)).WithRetryAfter(drainRetryAfter)
+}
+
 // Stop drains the entry: it refuses new jobs, lets running jobs continue until only
 // releaseBefore of the grace period is left, and releases the rest to other
 // entries. It returns when the entry has stopped serving.
@@ -35,8 +63,7 @@
 	}
 	logs.Info(en.logger, "stopping", "grace", en.settings.Grace)
 	started := en.clock.Now()
-	endsAt := started.Add(en.settings.Grace - answerBefore)
-	en.endsAt.Store(&endsAt)
+	en.drain.Store(&drainTimes{admitAllUntil: started.Add(admitAllTime), endsAt: started.Add(en.settings.Grace - answerBefore)})
 	elapsed := func() time.Duration { return en.clock.Now().Sub(started) }
 	go en.releaseDuties(en.ctx)
 	for elapsed() < en.settings.Grace-releaseBefore {
