subcmd: a second SIGTERM does not end a draining process

Callers saw all requests in progress break off if a second SIGTERM came while an entry drained.

Cause: the actor for signals of oklog/run calls signal.Stop after the first signal. That restores the default action, which ends the process at once.

Change: runDaemon receives SIGTERM until the servers are closed and ignores all but the first. A second SIGINT still ends the process, as on a terminal.

--- a/subcmd/daemon.go
+++ b/subcmd/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"os/signal"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -27,8 +28,13 @@
 }
 
 // runDaemon runs a daemon with its servers. On SIGINT or SIGTERM the daemon
-// drains; its servers close afterwards.
+// drains; its servers close afterwards. A second SIGINT ends the process at once.
 func runDaemon(da boot.Daemon) error {
+	// The actor for signals stops listening after the first one, which would restore the
+	// default action: a second SIGTERM would end the process in the middle of its drain.
+	ignored := make(chan os.Signal, 1)
+	signal.Notify(ignored, syscall.SIGTERM)
+	defer signal.Stop(ignored)
 	var gr run.Group
 	gr.Add(da.Runner.Run, func(error) {
 		da.Runner.Stop()
@@ -39,8 +45,8 @@
 	}
 	gr.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
 	err := gr.Run()
-	var signal run.SignalError
-	if errors.As(err, &signal) {
+	var received run.SignalError
+	if errors.As(err, &received) {
 		return nil
 	}
 	return err
