intake, server: requests that precede a stop end before the process does

Callers of requests that were accepted before SIGTERM and outlast the grace period got no answer: their connections were reset by SIGKILL, or by the server 5 s after the drain, even if the grace period was longer. So did readers of results that wait longer than that.

Cause: only requests that came after the signal got an earlier deadline, and the server aborted what was in flight after a fixed time that does not depend on the grace period.

The server of callers waits for requests for as long as the grace period lasts.

--- a/boot/node.go
+++ b/boot/node.go
@@ -105,6 +105,7 @@
 	callers := &server.Server{
 		Handler: handler, Refuse: handler.Refuse, Meters: me, Logger: lg, CurrentLimits: func() server.Limits { return callerLimits(en) },
 		Conns: connBudget(se.Instance, callerShare, callerConnShare), SendBuffer: sendBuffer, ReceiveBuffer: receiveBuffer,
+		ShutdownTimeout: se.Timing.Grace.Std(), // the entry ends all requests before
 	}
 	peers := connBudget(se.Instance, peerShare, peerConnShare)
 	internal := func(handler http.Handler) *server.Server {
--- a/intake/calls.go
+++ b/intake/calls.go
@@ -17,6 +17,8 @@
 	if refused := en.Admit(re.Deadline); refused != nil {
 		return calls.Response{}, refused
 	}
+	ctx, cancel := en.untilEnd(ctx)
+	defer cancel()
 	return en.forwarder.Do(ctx, en.limitDeadline(re))
 }
 
@@ -25,6 +27,8 @@
 	if refused := en.Admit(re.Deadline); refused != nil {
 		return refused
 	}
+	ctx, cancel := en.untilEnd(ctx)
+	defer cancel()
 	return en.forwarder.Stream(ctx, en.limitDeadline(re), sink)
 }
 
--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -206,7 +206,9 @@
 	// leaving holds the ids of targets that say in each response that they leave.
 	leaving map[string]bool
 	// limits maps a target to the requests per second that it names in each response.
-	limits  *sync.Map
+	limits *sync.Map
+	// pause returns the time between two events of a stream.
+	pause   func() time.Duration
 	started map[string][]time.Time
 }
 
@@ -415,6 +417,8 @@
 	unshared atomic.Bool
 	// newLink changes the connection of an entry that starts; it may be nil.
 	newLink func(li *link)
+	// eventPause is the time between two events of a stream; zero means eventInterval.
+	eventPause time.Duration
 	// questions counts those about the configuration.
 	questions atomic.Int64
 	// config replaces the configuration, logs is what the entries log.
@@ -703,7 +707,7 @@
 	if cl.newLink != nil {
 		cl.newLink(li)
 	}
-	an := &announcer{engines: cl.engines, sender: cl.sender, departures: &fleet.Departures{}, rates: &quota.Limits{}, limits: &cl.limits, started: map[string][]time.Time{}}
+	an := &announcer{engines: cl.engines, sender: cl.sender, departures: &fleet.Departures{}, rates: &quota.Limits{}, limits: &cl.limits, pause: func() time.Duration { return max(cl.eventPause, eventInterval) }, started: map[string][]time.Time{}}
 	en := intake.New(
 		intake.Settings{Node: "n" + strconv.Itoa(node), Domain: "d", Inner: "n" + strconv.Itoa(node), Grace: 8 * time.Second, FirstStart: cl.firstStart},
 		intake.Ports{Direct: li, Sender: an, Engine: an, Departures: an.departures, Rates: an.rates, Issuer: cl.issuer, Origins: cl.originsOf(node), Streamer: an, Dial: cl.dial, Configs: cl.configs, Starter: cl.starter, Boot: &cl.boot},
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -85,9 +85,12 @@
 	stopping atomic.Bool
 	// drain is set once the entry is stopping.
 	drain atomic.Pointer[drainTimes]
-	ctx   context.Context
-	stop  context.CancelFunc
-	done  chan struct{}
+	// serving ends when the last requests must be answered.
+	serving    context.Context
+	endServing context.CancelFunc
+	ctx        context.Context
+	stop       context.CancelFunc
+	done       chan struct{}
 
 	departures *fleet.Departures
 	freshness  *fleet.Freshness
@@ -196,6 +199,7 @@
 		en.freshness.Boot = duty.SystemBootClock{}
 	}
 	en.ctx, en.stop = context.WithCancel(context.Background())
+	en.serving, en.endServing = context.WithCancel(context.Background())
 	en.usage = en.newUsageDuty()
 	en.store = &relay.Store{Direct: en.usage.observe(en, po.Direct), Peers: en.peers, Clock: clock, Logger: lg}
 	en.ledger = batch.Ledger{Store: en.store}
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -138,6 +138,8 @@
 		case <-changed:
 		case <-timeout:
 			return en.confirmEmpty(ctx, job, from)
+		case <-en.serving.Done():
+			return en.confirmEmpty(ctx, job, from)
 		case <-ctx.Done():
 			return batch.Listing{}, core.Refuse(core.CodeDeadline, "the client disconnected")
 		}
--- a/intake/late_test.go
+++ b/intake/late_test.go
@@ -125,3 +125,54 @@
 		}
 	}
 }
+
+// Guards against requests that come before the stop signal and get no answer, since they outlast
+// the process: each ends while the process still lives, and says whether it may have run.
+func TestRequestsInFlightEndBeforeTheProcess(t *testing.T) {
+	const grace = 8 * time.Second
+	for _, kind := range lateKinds {
+		t.Run(string(kind), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 1)
+				defer cl.stop()
+				cl.config.Store(lateConfig())
+				cl.put(operatorTable, "config")
+				time.Sleep(time.Second)
+				cl.sender.delay = 20 * time.Second
+				cl.eventPause = time.Second
+				var group sync.WaitGroup
+				lc := &lateCaller{cluster: cl}
+				group.Go(func() { lc.send(fmt.Sprintf("/%s-false/x", kind), "c1", 30*time.Second) })
+				time.Sleep(time.Second)
+				started := time.Now()
+				go cl.entries[0].Stop()
+				group.Wait()
+				require.Less(t, time.Since(started), grace)
+				require.NotNil(t, lc.failed)
+				require.Equal(t, core.MayHaveRun, lc.failed.Verdict)
+			})
+		})
+	}
+}
+
+// Guards against a reader of results that waits for longer than the process lives and gets no
+// answer.
+func TestWaitingReaderIsAnsweredBeforeTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const grace = 8 * time.Second
+		cl := newCluster(t, 2)
+		defer cl.stop()
+		cl.engines.stalled = map[string]bool{"lm1": true, "lm2": true, "lm3": true}
+		require.Nil(t, cl.submit(0, job("j1", 1)))
+		var group sync.WaitGroup
+		started := time.Now()
+		go cl.entries[0].Stop()
+		group.Go(func() {
+			li, err := cl.entries[0].Results(context.Background(), "j1", 0, time.Minute)
+			require.Nil(t, err)
+			require.Empty(t, li.Results)
+			require.Less(t, time.Since(started), grace)
+		})
+		group.Wait()
+	})
+}
--- a/intake/origin_test.go
+++ b/intake/origin_test.go
@@ -35,7 +35,7 @@
 		select {
 		case <-ctx.Done():
 			return core.InDoubt(core.CodeTargetLost, "canceled")
-		case <-time.After(eventInterval):
+		case <-time.After(an.pause()):
 		}
 		if err := event(at, fmt.Appendf(nil, "%d:%v ", at, software)); err != nil {
 			return err
--- a/intake/stop.go
+++ b/intake/stop.go
@@ -54,6 +54,14 @@
 	return core.Refuse(core.CodeDraining, "this entry is stopping and ends %v before the deadline of the request", deadline.Sub(dr.endsAt)).WithRetryAfter(drainRetryAfter)
 }
 
+// untilEnd returns a context that ends when a stopping entry answers its last requests, also
+// those that it accepted before the stop signal.
+func (en *Entry) untilEnd(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(en.serving, cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
 // Stop drains the entry: it refuses new jobs, lets running jobs continue until only
 // releaseBefore of the grace period is left, and releases the rest to other
 // entries. It returns when the entry has stopped serving.
@@ -63,7 +71,9 @@
 	}
 	logs.Info(en.logger, "stopping", "grace", en.settings.Grace)
 	started := en.clock.Now()
-	en.drain.Store(&drainTimes{admitAllUntil: started.Add(admitAllTime), endsAt: started.Add(en.settings.Grace - answerBefore)})
+	endsAt := started.Add(en.settings.Grace - answerBefore)
+	en.drain.Store(&drainTimes{admitAllUntil: started.Add(admitAllTime), endsAt: endsAt})
+	time.AfterFunc(endsAt.Sub(started), en.endServing)
 	elapsed := func() time.Duration { return en.clock.Now().Sub(started) }
 	go en.releaseDuties(en.ctx)
 	for elapsed() < en.settings.Grace-releaseBefore {
--- a/server/conn_test.go
+++ b/server/conn_test.go
@@ -259,3 +259,28 @@
 		require.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
 	}
 }
+
+// Guards against requests that are cut off when a server is closed, although the process may
+// run for longer than the default time.
+func TestShutdownTimeout(t *testing.T) {
+	t.Parallel()
+	const work = 6 * time.Second
+	began := make(chan struct{})
+	se := &server.Server{ShutdownTimeout: 2 * work, Handler: http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) {
+		close(began)
+		time.Sleep(work)
+		_, _ = out.Write([]byte("whole")) // the client reports a failure
+	})}
+	require.NoError(t, se.Listen("127.0.0.1:0"))
+	go func() { _ = se.Run() }()
+	go func() {
+		<-began
+		se.Close(nil)
+	}()
+	res, err := http.Get("http://" + se.Addr())
+	require.NoError(t, err)
+	defer res.Body.Close()
+	raw, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(raw))
+}
--- a/server/server.go
+++ b/server/server.go
@@ -71,6 +71,10 @@
 	// bytes; zero leaves it to the system. It grows while a large body is read.
 	ReceiveBuffer int
 
+	// ShutdownTimeout bounds the wait for requests in flight when the server is closed; zero
+	// selects the default.
+	ShutdownTimeout time.Duration
+
 	// grown bounds the grown receive buffers.
 	grown limit.ByteBudget
 	// lingering is the number of connections that wait after a refusal.
@@ -91,8 +95,8 @@
 const (
 	// cutInterval is the time between two looks for stalled clients while the server is closed.
 	cutInterval = 100 * time.Millisecond
-	// shutdownTimeout bounds the wait for requests in flight when the server is closed.
-	shutdownTimeout = 5 * time.Second
+	// defaultShutdownTimeout is the default of Server.ShutdownTimeout.
+	defaultShutdownTimeout = 5 * time.Second
 	// maxConcurrentStreams bounds the concurrent requests on one HTTP/2 connection.
 	maxConcurrentStreams = 10000
 )
@@ -191,9 +195,13 @@
 }
 
 // Close stops the server gracefully. Clients that have stalled in the middle of a request are
-// cut off. It aborts requests that are still in flight after shutdownTimeout.
+// cut off. It aborts requests that are still in flight after ShutdownTimeout.
 func (se *Server) Close(error) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	timeout := se.ShutdownTimeout
+	if timeout <= 0 {
+		timeout = defaultShutdownTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	se.closing.Store(true)
 	go se.cutStalled(ctx)
