batch, intake: a job whose owner is busy can be ended from any region

Cause: an end was a read of the job's head and a write under the condition that it has not changed: two round trips, 120 ms between regions. The owner changes the same row each 40 ms, so that all ten attempts lost the race.

Change: after the first lost race the entry seals the job: a row of its own, written without a condition, which every other write of the head expects to be absent. The next append of the owner fails, and the end then has no rival. An owner or an adopting entry that finds a job sealed ends it, so that the entry that sealed it need not live to do so. Ends of quiet jobs cost what they did. After ten lost races the answer is no longer "not run".

Weighed: a call to the owner. It is out of reach or frozen when it matters most, and the write would still be needed for that case.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -10,6 +10,10 @@
 //     an id of its own to the head. After a lost response, the head is read to see
 //     whether the write took effect.
 //  4. No results are appended to an ended job.
+//  5. A job is ended by a conditional write of its head. If the owner changes the head too
+//     often for that, the job is sealed first: a row of its own, written unconditionally,
+//     which all other writes of the head expect to be absent. An owner that finds its job
+//     sealed ends it.
 package batch
 
 import (
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -34,6 +34,8 @@
 	// ErrSuperseded means that the head has changed: the job has another owner, or
 	// it was ended.
 	ErrSuperseded = errors.New("the job has another owner or has ended")
+	// ErrSealed means that the job was sealed: it takes no change but its end.
+	ErrSealed = errors.New("the job is sealed and must be ended")
 	// ErrOutcomeUnknown means that it is not known whether a write took effect.
 	ErrOutcomeUnknown = errors.New("it is not known whether the write took effect")
 )
@@ -113,7 +115,7 @@
 		}
 	}
 	he.WriteID = rand.Uint64()
-	return le.updateHead(ctx, jo.ID, VersionedHead{}, he, groups[len(groups)-1])
+	return le.updateHead(ctx, jo.ID, VersionedHead{}, he, unlessSealed(jo.ID), groups[len(groups)-1])
 }
 
 // superseded returns ErrSuperseded with the head of a job that was accepted before.
@@ -126,20 +128,30 @@
 }
 
 // Adopt makes an entry the owner of a job. It fails if the head is no longer the
-// given one.
+// given one, and with ErrSealed if the job is sealed.
 func (le Ledger) Adopt(ctx context.Context, job string, vh VersionedHead, owner string) (VersionedHead, error) {
 	he := vh.Head.WithOwner(owner)
 	he.WriteID = rand.Uint64()
-	return le.updateHead(ctx, job, vh, he, nil)
+	return le.updateHead(ctx, job, vh, he, unlessSealed(job), nil)
 }
 
-// End ends a job. To end it again has no effect.
+// End ends a job. To end it again has no effect. It fails if the head is no longer the given
+// one.
 func (le Ledger) End(ctx context.Context, job string, vh VersionedHead) (VersionedHead, error) {
 	he := vh.Head.WithEnded()
 	he.WriteID = rand.Uint64()
-	return le.updateHead(ctx, job, vh, he, nil)
+	return le.updateHead(ctx, job, vh, he, nil, nil)
 }
 
+// Seal makes all later changes of a job fail but its end (rule 5). It needs no version of the
+// head, so that a busy owner cannot delay it.
+func (le Ledger) Seal(ctx context.Context, job string) error {
+	return le.write(ctx, table.Tx{Puts: []table.Put{{ID: sealID(job), Value: sealValue}}})
+}
+
+// unlessSealed is the expectation that a job is not sealed.
+func unlessSealed(job string) []table.Expect { return []table.Expect{{ID: sealID(job)}} }
+
 // Append is a write that appends results to a job. It is retried with the same rows
 // until it is known to have succeeded or failed.
 type Append struct {
@@ -170,14 +182,14 @@
 
 // Commit attempts an append once. See Accept for the errors.
 func (le Ledger) Commit(ctx context.Context, ap Append) (VersionedHead, error) {
-	return le.updateHead(ctx, ap.Job, ap.Base, ap.Head, ap.Puts)
+	return le.updateHead(ctx, ap.Job, ap.Base, ap.Head, unlessSealed(ap.Job), ap.Puts)
 }
 
-// updateHead replaces a head and writes rows in the same transaction. On an error,
-// it reads the head to determine the outcome (rule 3).
-func (le Ledger) updateHead(ctx context.Context, job string, from VersionedHead, to Head, puts []table.Put) (VersionedHead, error) {
+// updateHead replaces a head and writes rows in the same transaction, if the expectations
+// hold. On an error, it reads the head to determine the outcome (rule 3).
+func (le Ledger) updateHead(ctx context.Context, job string, from VersionedHead, to Head, expect []table.Expect, puts []table.Put) (VersionedHead, error) {
 	tx := table.Tx{
-		Expect: []table.Expect{{ID: HeadID(job), Version: from.Version}},
+		Expect: append([]table.Expect{{ID: HeadID(job), Version: from.Version}}, expect...),
 		Puts:   append([]table.Put{{ID: HeadID(job), Value: EncodeHead(to)}}, puts...),
 	}
 	version, err := le.commit(ctx, tx)
@@ -195,6 +207,8 @@
 	case readErr != nil || (!conflict && vh.Version == from.Version):
 		// A write without a response may still take effect later.
 		return vh, errors.Mark(errors.Wrap(err, "write the head of a job"), ErrOutcomeUnknown)
+	case vh.Version == from.Version: // the other expectation did not hold
+		return vh, errors.Mark(errors.Newf("job %s is sealed", job), ErrSealed)
 	default:
 		return vh, errors.Mark(errors.Newf("head of job %s is at version %d, not %d", job, vh.Version, from.Version), ErrSuperseded)
 	}
@@ -223,6 +237,9 @@
 	if err := le.deleteRange(ctx, table.Range{Table: PartialTable, Part: job}); err != nil {
 		return errors.Wrapf(err, "delete job %s", job)
 	}
+	if err := le.deleteRange(ctx, table.Range{Table: SealTable, Part: Part(job), From: job, To: job + "\x00"}); err != nil {
+		return errors.Wrapf(err, "delete job %s", job)
+	}
 	return le.write(ctx, table.Tx{
 		Expect: []table.Expect{{ID: HeadID(job), Version: vh.Version}}, Drops: []table.ID{HeadID(job)},
 	})
--- a/batch/ledger_test.go
+++ b/batch/ledger_test.go
@@ -296,7 +296,11 @@
 	accept(t, le, other)
 	_, err = le.SavePartials(ctx, "j1", []batch.Partial{{ID: "i9", Events: []string{"x"}, Versions: []uint64{1}}})
 	require.NoError(t, err)
+	require.NoError(t, le.Seal(ctx, "j1"))
 	require.NoError(t, le.Delete(ctx, "j1", vh))
+	seals, err := rows.List(ctx, table.Range{Table: batch.SealTable, Part: batch.Part("j1")})
+	require.NoError(t, err)
+	require.Empty(t, seals.Rows)
 	vh, err = le.Find(ctx, "j1")
 	require.NoError(t, err)
 	require.Zero(t, vh.Version)
@@ -358,3 +362,33 @@
 		require.Error(t, jo.Validate(), name)
 	}
 }
+
+// Guards against an end that loses each race with an owner that writes all the time: once a job
+// is sealed, every other write of its head fails, whatever version it expects.
+func TestSeal(t *testing.T) {
+	ctx := context.Background()
+	le := batch.Ledger{Store: &fake.Rows{}}
+	vh := accept(t, le, job(4, 10))
+	stale := vh
+	ap, _ := batch.NewAppend("j1", vh, results(0, 1, 10))
+	vh, err := le.Commit(ctx, ap)
+	require.NoError(t, err)
+	require.NoError(t, le.Seal(ctx, "j1"))
+	require.NoError(t, le.Seal(ctx, "j1"), "again")
+
+	ap, _ = batch.NewAppend("j1", vh, results(1, 1, 10))
+	have, err := le.Commit(ctx, ap)
+	require.True(t, errors.Is(err, batch.ErrSealed), err)
+	require.Equal(t, vh, have)
+	_, err = le.Adopt(ctx, "j1", vh, "b")
+	require.True(t, errors.Is(err, batch.ErrSealed), err)
+	_, err = le.End(ctx, "j1", stale)
+	require.True(t, errors.Is(err, batch.ErrSuperseded), err)
+
+	ended, err := le.End(ctx, "j1", vh)
+	require.NoError(t, err)
+	require.True(t, ended.Head.Ended)
+	listed, err := le.Results(ctx, "j1", 0)
+	require.NoError(t, err)
+	require.Len(t, listed, 1, "nothing is listed after the seal")
+}
--- a/batch/rows.go
+++ b/batch/rows.go
@@ -21,6 +21,7 @@
 	BodyTable    = "job-body"
 	ResultTable  = "job-result"
 	PartialTable = "job-partial"
+	SealTable    = "job-seal"
 )
 
 // partCount is the number of parts over which jobs are distributed: the write limit
@@ -58,13 +59,19 @@
 	// the values in base64, must stay below the store's limit of 1 MB.
 	maxTxBytes = 600000
 	// maxTxRows is the maximum number of rows in a transaction. It is below the
-	// store's limit of 100 entries, in which the head counts twice.
+	// store's limit of 100 entries, in which the head counts twice and the seal once.
 	maxTxRows = 90
 )
 
 // HeadID returns the id of the row that holds a job's head.
 func HeadID(job string) table.ID { return table.ID{Table: HeadTable, Part: Part(job), Key: job} }
 
+// sealID returns the id of the row that seals a job.
+func sealID(job string) table.ID { return table.ID{Table: SealTable, Part: Part(job), Key: job} }
+
+// sealValue is the value of that row, whose presence alone counts.
+var sealValue = []byte("sealed")
+
 // EncodeHead encodes a head as the value of its row.
 func EncodeHead(he Head) []byte { return encode(he) }
 
--- a/intake/adopt.go
+++ b/intake/adopt.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bilberryshelf/batch"
 	"bilberryshelf/logs"
 	"bilberryshelf/table"
@@ -102,6 +104,14 @@
 	defer en.adopting.end(job)
 	previous := vh.Head.Owner
 	vh, err := en.ledger.Adopt(ctx, job, vh, en.name)
+	if errors.Is(err, batch.ErrSealed) { // its end was asked for, and nobody has written it
+		vh, err = en.ledger.End(ctx, job, vh)
+		logs.Info(en.logger, "sealed job ended", "id", job, "owner", previous, "err", err)
+		if vh.Version > 0 {
+			en.index.Put(job, vh)
+		}
+		return
+	}
 	if err != nil {
 		logs.Info(en.logger, "job not adopted", "id", job, "owner", previous, "err", err)
 		if vh.Version > 0 {
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -200,28 +200,34 @@
 }
 
 // EndJob ends a job, so that no more of its results are listed. Ending it again
-// changes nothing.
+// changes nothing. If the owner writes results faster than this entry can read and write the
+// head, which takes two round trips to the store, it seals the job.
 func (en *Entry) EndJob(ctx context.Context, job string) *core.Error {
 	if failed := en.checkStore(); failed != nil {
 		return failed
 	}
-	for range maxEndAttempts {
+	for try := range maxEndAttempts {
 		vh, failed := en.findHead(ctx, job, true)
 		if failed != nil {
 			return failed
 		}
+		err := error(nil)
 		if !vh.Head.Ended {
-			var err error
-			if vh, err = en.ledger.End(ctx, job, vh); errors.Is(err, batch.ErrSuperseded) {
-				continue // the owner has listed results since the read
-			} else if err != nil {
-				return core.InDoubt(core.CodeUnsettled, "unknown whether the job was ended: %v", err)
-			}
+			vh, err = en.ledger.End(ctx, job, vh)
+		}
+		if err == nil {
 			logs.Info(en.logger, "job ended", "id", job, "listed", vh.Head.Listed, "total", vh.Head.Total, "version", vh.Version)
+			en.index.Put(job, vh)
+			en.owner.End(job)
+			return nil
+		}
+		if errors.Is(err, batch.ErrSuperseded) && try == 0 {
+			logs.Info(en.logger, "sealing a job whose owner is busy", "id", job, "listed", vh.Head.Listed)
+			err = en.ledger.Seal(ctx, job)
+		}
+		if err != nil && !errors.Is(err, batch.ErrSuperseded) {
+			return core.InDoubt(core.CodeUnsettled, "unknown whether the job was ended: %v", err)
 		}
-		en.index.Put(job, vh)
-		en.owner.End(job)
-		return nil
 	}
-	return core.Refuse(core.CodeConflict, "too many concurrent changes of the job").WithRetryAfter(sweepInterval)
+	return core.InDoubt(core.CodeConflict, "too many concurrent changes of the job")
 }
--- a/runs/list.go
+++ b/runs/list.go
@@ -77,6 +77,8 @@
 		}
 	case errors.Is(err, batch.ErrSuperseded):
 		ow.headConflict(jo, vh)
+	case errors.Is(err, batch.ErrSealed):
+		ow.endSealed(jo, vh)
 	default:
 		jo.retryAt = ow.Clock.Now().Add(retryDelay)
 		if !jo.storeFailing {
@@ -106,6 +108,19 @@
 	}
 }
 
+// endSealed ends a job that was sealed, since the entry that sealed it may not live to do so.
+func (ow *Owner) endSealed(jo *job, vh batch.VersionedHead) {
+	jo.known = vh
+	ow.drop(jo, dropEnded)
+	go func() {
+		ended, err := ow.Ledger.End(ow.ctx, jo.body.ID, vh)
+		logs.Info(ow.Logger, "sealed job ended", "id", jo.body.ID, "err", err)
+		if ended.Version > 0 {
+			ow.Index.Put(jo.body.ID, ended)
+		}
+	}()
+}
+
 // savePartials saves the partial texts of long items, so that another owner can
 // continue them. Otherwise, when an entry or a whole site loses power during a step,
 // its long items would start from the beginning.
