runs: a stopping owner releases a job that it still writes to

Trainers waited some 3 s longer for the steps of an entry that stopped as planned, where results were listed at that moment: the job was not released and ran on only once its owner counted as dead.

The owner's own append, still in flight, changes the head between the read and the write.

Change: the release is repeated with the head that was found, while the owner is the same and the job open. A sealed job is ended instead.

--- a/intake/end_test.go
+++ b/intake/end_test.go
@@ -80,3 +80,25 @@
 		})
 	}
 }
+
+// Guards against a job that a stopping owner does not release, since a write of results that is
+// still in flight changes the head: others would adopt it only once the owner counts as dead.
+func TestBusyJobIsReleased(t *testing.T) {
+	for _, latency := range []time.Duration{4, 30, 60, 200} {
+		t.Run(fmt.Sprint(latency*time.Millisecond), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 3)
+				defer cl.stop()
+				require.Nil(t, cl.submit(0, job("j1", 600)))
+				time.Sleep(time.Second)
+				owner := cl.owner("j1")
+				cl.links[owner].latency = latency * time.Millisecond
+				cl.entries[owner].Stop()
+				vh, err := batch.Ledger{Store: cl.rows}.Find(context.Background(), "j1")
+				require.NoError(t, err)
+				require.True(t, vh.Head.Open(), "the job is still busy")
+				require.NotEqual(t, uint64(1), vh.Head.Epoch, "released or adopted")
+			})
+		})
+	}
+}
--- a/runs/lifecycle.go
+++ b/runs/lifecycle.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bilberryshelf/batch"
 	"bilberryshelf/conf"
 	"bilberryshelf/logs"
@@ -124,16 +126,37 @@
 		if _, err := ow.Ledger.SavePartials(ctx, jo.body.ID, jo.unlisted); err != nil {
 			logs.Warn(ow.Logger, "partial texts not saved", "id", jo.body.ID, "err", err)
 		}
-		vh, _ := ow.Index.Get(jo.body.ID)
-		if vh.Version < jo.known.Version {
-			vh = jo.known
-		}
-		if _, err := ow.Ledger.Adopt(ctx, jo.body.ID, vh, ""); err != nil {
+		if err := ow.release(ctx, jo); err != nil {
 			logs.Warn(ow.Logger, "job not released", "id", jo.body.ID, "err", err)
 		}
 	}
 }
 
+// maxReleaseAttempts bounds the attempts to release a job whose head changes meanwhile: a
+// write of results may still be in flight, and another entry may seal or end the job.
+const maxReleaseAttempts = 4
+
+// release removes the owner of a job from its head.
+func (ow *Owner) release(ctx context.Context, jo *job) error {
+	vh, _ := ow.Index.Get(jo.body.ID)
+	if vh.Version < jo.known.Version {
+		vh = jo.known
+	}
+	var err error
+	for range maxReleaseAttempts {
+		if vh.Head.Epoch != jo.known.Head.Epoch || !vh.Head.Open() {
+			return nil
+		}
+		if vh, err = ow.Ledger.Adopt(ctx, jo.body.ID, vh, ""); errors.Is(err, batch.ErrSealed) {
+			vh, err = ow.Ledger.End(ctx, jo.body.ID, vh)
+		}
+		if !errors.Is(err, batch.ErrSuperseded) {
+			return err
+		}
+	}
+	return err
+}
+
 // drop removes a job from this entry and cancels its runs. Partial texts of an
 // ended job are saved under its route for a later job; those of a released job are
 // left in jo.unlisted.
