runs: a text that cannot be listed is discarded

Trainers got 8 and 6 of 216 results of a step, and no more, when one engine of three sent texts without end, and none or a few when all faulty ones did. Some results that they got were such texts, listed as complete.

Cause: a run whose text exceeded the limit counted as interrupted. Its events were kept, and the item went on at a sound engine after the last of them; that engine had nothing to add, which confirmed the end. The size of the events of earlier runs did not count, so that a text grew by 1 MiB with each run. The result exceeded what the store takes in a call, and since results are written in order, none after it was listed.

Change: such a run ends as too-long. Its text and what was saved of it are discarded, the engine is avoided, and the item begins anew after a growing pause; it is errored at its time limit only. The limit includes the events of earlier runs and is at most what a result can hold beside its score; a score is at most 4 KiB. A complete text that does not fit is discarded as well.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -129,6 +129,23 @@
 	Score    string   `cbor:"5,keyasint"`
 }
 
+// MaxScoreBytes is the maximum length of a score. The stamps of targets have some 40 bytes.
+const MaxScoreBytes = 4 << 10
+
+// MaxTextBytes is the maximum length of a text: a result must fit one transaction, also with
+// its score and its versions.
+const MaxTextBytes = maxTxBytes - 4*MaxScoreBytes
+
+// Fits reports whether the result can be stored, whatever its score.
+func (re Result) Fits() bool {
+	const (
+		versionBytes  = 9
+		overheadBytes = 64 // keys and lengths
+	)
+	size := len(re.ID) + len(re.State) + len(re.Text) + versionBytes*len(re.Versions) + overheadBytes
+	return size+MaxScoreBytes <= maxTxBytes
+}
+
 // Head is the authoritative state of a job, stored in one row.
 type Head struct {
 	// Epoch is incremented by each new owner.
--- a/batch/ledger_test.go
+++ b/batch/ledger_test.go
@@ -363,6 +363,31 @@
 	}
 }
 
+// Guards against a result that no transaction holds: it would hold up all others of its job.
+func TestLargestResultFits(t *testing.T) {
+	re := batch.Result{ID: strings.Repeat("i", batch.MaxIDBytes), State: batch.Completed, Text: strings.Repeat("x", batch.MaxTextBytes), Versions: []uint64{1, 2}}
+	require.True(t, re.Fits())
+	for name, tooLarge := range map[string]batch.Result{
+		"text":     {State: batch.Completed, Text: re.Text + strings.Repeat("x", 4*batch.MaxScoreBytes)},
+		"versions": {State: batch.Completed, Text: re.Text, Versions: make([]uint64, 2000)},
+	} {
+		require.False(t, tooLarge.Fits(), name)
+	}
+	re.Score = strings.Repeat("s", batch.MaxScoreBytes)
+	ap, count := batch.NewAppend("j1", batch.VersionedHead{}, []batch.Result{re})
+	require.Equal(t, 1, count)
+	const (
+		maxCall    = 1_000_000 // the store's limit of a call
+		base64Size = 4.0 / 3
+		rowNames   = 500
+	)
+	size := 0
+	for _, pu := range ap.Puts {
+		size += int(base64Size*float64(len(pu.Value))) + rowNames
+	}
+	require.Less(t, size, maxCall)
+}
+
 // Guards against an end that loses each race with an owner that writes all the time: once a job
 // is sealed, every other write of its head fails, whatever version it expects.
 func TestSeal(t *testing.T) {
--- a/intake/calls.go
+++ b/intake/calls.go
@@ -74,6 +74,8 @@
 		switch {
 		case failed != nil:
 			err = failed
+		case rs.Status/100 == 2 && len(rs.Stamp) > batch.MaxScoreBytes:
+			err = errors.Newf("scoring call: a score of %d bytes", len(rs.Stamp))
 		case rs.Status/100 == 2 && rs.Stamp != "":
 			return rs.Stamp, 0, nil
 		case rs.Status == http.StatusInternalServerError:
--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -47,6 +47,9 @@
 	fail map[string]runs.Ending
 	// stalled holds the ids of targets that send no events.
 	stalled map[string]bool
+	// endless holds the ids of targets whose texts are too long; those in oversized end in
+	// order after an event that no result holds.
+	endless, oversized map[string]bool
 	// hangFirst is set if the first run of each item hangs after its first event.
 	hangFirst bool
 	// emptyAfter is the number of runs of each item that resume its text and end in order
@@ -117,6 +120,9 @@
 	if empty {
 		return runs.Outcome{Ending: runs.Complete}
 	}
+	if en.endless[ta.ID] || en.oversized[ta.ID] {
+		return en.runFaulty(ctx, ta.ID, rq.After, event)
+	}
 	software, _ := en.software.Load(ta.ID)
 	name, _ := software.(string)
 	for at := rq.After + 1; at <= length(id); at++ {
@@ -147,6 +153,26 @@
 	return runs.Outcome{Ending: runs.Complete}
 }
 
+// runFaulty sends a text that cannot be listed.
+func (en *engines) runFaulty(ctx context.Context, target string, after int, event func(runs.Event)) runs.Outcome {
+	data := strings.Repeat("x", 2000)
+	if en.oversized[target] {
+		data = strings.Repeat("x", batch.MaxTextBytes)
+	}
+	for range 5 {
+		select {
+		case <-ctx.Done():
+			return runs.Outcome{Ending: runs.Interrupted, Detail: "the caller disconnected"}
+		case <-time.After(eventInterval):
+			event(runs.Event{Data: data, Version: en.version})
+		}
+	}
+	if en.oversized[target] {
+		return runs.Outcome{Ending: runs.Complete}
+	}
+	return runs.Outcome{Ending: runs.TooLong, Detail: fmt.Sprint("too long after ", after+5)}
+}
+
 // sender answers plain requests and scoring calls.
 type sender struct {
 	mutex sync.Mutex
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -277,6 +277,50 @@
 	})
 }
 
+// Guards against a text without end that goes on at a sound engine, which has nothing to add, so
+// that it is listed as complete; and against one that fits no result and holds up all others.
+func TestTextsThatCannotBeListed(t *testing.T) {
+	for name, set := range map[string]func(en *engines){
+		"one endless engine":   func(en *engines) { en.endless = map[string]bool{"lm2": true} },
+		"two endless engines":  func(en *engines) { en.endless = map[string]bool{"lm2": true, "lm3": true} },
+		"one oversized engine": func(en *engines) { en.oversized = map[string]bool{"lm2": true} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 2)
+				defer cl.stop()
+				set(cl.engines)
+				jo := job("j1", 12)
+				require.Nil(t, cl.submit(0, jo))
+				time.Sleep(20 * time.Second)
+				cl.requireComplete(1, jo)
+			})
+		})
+	}
+}
+
+// Guards against an item that no engine can run to its end and that holds its job open for ever,
+// or is run all the time: it is errored at its time limit.
+func TestTextTooLongOnAllEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 2)
+		defer cl.stop()
+		cl.engines.endless = map[string]bool{"lm1": true, "lm2": true, "lm3": true}
+		require.Nil(t, cl.submit(0, job("j1", 1)))
+		time.Sleep(route.ItemTTL - time.Second)
+		require.Empty(t, cl.read(0, "j1"), "not errored before its time limit")
+		for id, count := range cl.engines.runs {
+			require.Less(t, count, 20, id)
+		}
+		time.Sleep(3 * time.Second)
+		results := cl.read(0, "j1")
+		require.Len(t, results, 4)
+		for _, re := range results {
+			require.Equal(t, batch.Errored, re.State)
+		}
+	})
+}
+
 // The load pattern: an owner dies near the end of a step. The next owner continues
 // the long items after their saved partial texts.
 func TestReplaySavedTexts(t *testing.T) {
--- a/runs/job.go
+++ b/runs/job.go
@@ -152,6 +152,8 @@
 	avoid string
 	// emptyEnds counts the runs since the last event that ended in order without one.
 	emptyEnds int
+	// tooLong counts the texts that could not be listed.
+	tooLong   int
 	notBefore time.Time
 	// For the log: the number of runs, the age of the job at the first one, and when
 	// the text was complete.
@@ -210,6 +212,15 @@
 	return place.RunLoad(it.item.PromptTokens, (len(it.events)+runEvents)*tokensPerEvent, it.item.Hint)
 }
 
+// textBytes returns the size of the text without the run in progress.
+func (it *item) textBytes() int {
+	sum := 0
+	for _, ev := range it.events {
+		sum += len(ev) + 1
+	}
+	return sum
+}
+
 // eventCount returns the number of events so far, including the run in progress.
 func (it *item) eventCount() int {
 	if it.run == nil {
--- a/runs/step.go
+++ b/runs/step.go
@@ -183,7 +183,7 @@
 	en.running++
 	en.runs[ru] = true
 	en.groups[it.item.Group]++
-	rq, target := Request{Job: jo.body, Item: it.item, After: len(it.events)}, en.target
+	rq, target := Request{Job: jo.body, Item: it.item, After: len(it.events), TextBytes: it.textBytes()}, en.target
 	logs.Info(ow.Logger, "run begun", "job", jo.body.ID, "id", it.item.ID, "engine", en.target.ID, "after", rq.After,
 		"version", en.version(jo.body.Model), "running", en.running, "pace", en.pace,
 		"software", en.target.Software)
@@ -253,6 +253,10 @@
 // item needs next.
 func (ow *Owner) continueItem(now time.Time, ru *run, out Outcome, events []Event) {
 	en, it, jo := ru.engine, ru.item, ru.job
+	if out.Ending == TooLong {
+		ow.discardText(now, jo, it, en, out.Detail)
+		return
+	}
 	before := len(it.events)
 	it.appendEvents(events, ru.software, jo.body.MinVersion)
 	switch {
@@ -282,9 +286,29 @@
 		return
 	}
 	it.complete = true
+	if !it.result(batch.Completed, "").Fits() {
+		ow.discardText(ow.Clock.Now(), jo, it, en, "the result does not fit the store")
+		return
+	}
 	ow.textComplete(jo, it)
 }
 
+// discardText discards a text that cannot be listed, with all that was saved of it, and has the
+// item begin anew, on another engine if there is one. The events of such a text must not be
+// kept: a sound engine that continued it would have nothing to add. The item is not errored
+// before its time limit, since its text is not known to be too long on other engines.
+func (ow *Owner) discardText(now time.Time, jo *job, it *item, en *engine, why string) {
+	logs.Warn(ow.Logger, "text discarded", "job", jo.body.ID, "id", it.item.ID, "engine", en.target.ID, "events", len(it.events), "why", why)
+	ow.Meters.Count("texts-discarded", jo.route.Name, 1)
+	jo.obsoleteRows = append(jo.obsoleteRows, it.rows...)
+	it.rows, it.savedEvents = nil, 0
+	it.reset()
+	it.avoid, it.resumed = en.target.ID, false
+	it.notBefore = now.Add(min(tooLongBackoff<<min(it.tooLong, 8), maxTooLongBackoff))
+	it.tooLong++
+	en.backOffInterrupted(now)
+}
+
 // recordOutcome updates the backoff of the engine, or that of the item, after a run.
 func (ow *Owner) recordOutcome(now time.Time, en *engine, ru *run, out Outcome, events int) {
 	switch {
