runs, limit: the texts of items are bounded in memory

Cause: what is read of a response counted only while it was a body. The texts of items, which an entry holds until their results are written, and what is saved of them at a time, had no bound together. Events without text counted as nothing at all.

Change: texts reserve memory event by event, up to a fifth of the instance's memory (limit.HeldBytes, rule 4). Where it is full, the largest text that is not complete yields: its run is canceled, the text discarded and its engine avoided, and the item begins anew. The one that asks waits until the bytes are returned: a text that was only marked is still in memory. Partial texts are saved 2 MiB at a time.

TestMemoryOfTexts, TestLargestYields.

Ruled out: refusing the text that asks. Sound items would lose theirs to the faster ones of the faulty engine. Ruled out: rule 2 of ByteBudget for texts; a single one of empty events may have 583,616 of them, at 128 bytes each.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -223,6 +223,15 @@
 	return len(pa.Versions) == len(pa.Events)
 }
 
+// TextBytes returns the size of the text: the events, each with the line feed after it.
+func (pa Partial) TextBytes() int {
+	sum := len(pa.Events)
+	for _, ev := range pa.Events {
+		sum += len(ev)
+	}
+	return sum
+}
+
 // isUTF8 reports whether all events are UTF-8.
 func (pa Partial) isUTF8() bool {
 	return !slices.ContainsFunc(pa.Events, func(ev string) bool { return !utf8.ValidString(ev) })
--- a/boot/node.go
+++ b/boot/node.go
@@ -38,6 +38,9 @@
 	// take, and that those of responses may take while they are read. It is small because
 	// a job is also held decoded, encoded and in the text of a call.
 	maxBodyShare = 0.125
+	// maxTextShare is the share of the instance's memory that the texts of items may take until
+	// their results are written.
+	maxTextShare = 0.2
 	// callerShare and peerShare are the shares of the instance's memory that the connections
 	// of callers, and those of all others, may take with the heads of their requests.
 	callerShare = 0.25
@@ -74,7 +77,8 @@
 	en := intake.New(intake.Settings{
 		Node: se.Name, Region: se.Place.Region, Domain: se.Place.FailureDomain, Inner: se.Listen.Inner, Grace: se.Timing.Grace.Std(),
 		LowCapacity: se.Instance.Cores < minJobCores, MaxBodyBytes: int64(maxBodyShare * float64(se.Instance.Memory)),
-		Duties: dutySettings(se), FirstStart: se.Start.First,
+		MaxTextBytes: int64(maxTextShare * float64(se.Instance.Memory)),
+		Duties:       dutySettings(se), FirstStart: se.Start.First,
 	}, intake.Ports{
 		Duties: platform.NewDuties(se.Duties.Address, se.Name).WithRate(se.Duties.CallsPerSecond),
 		Direct: store, Sender: targets, Streamer: targets, Engine: targets, Departures: departures, Rates: rates,
--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -50,6 +50,8 @@
 	// endless holds the ids of targets whose texts are too long; those in oversized end in
 	// order after an event that no result holds.
 	endless, oversized map[string]bool
+	// flooding holds the ids of targets that send events until the run is canceled.
+	flooding map[string]bool
 	// hangFirst is set if the first run of each item hangs after its first event.
 	hangFirst bool
 	// emptyAfter is the number of runs of each item that resume its text and end in order
@@ -120,7 +122,7 @@
 	if empty {
 		return runs.Outcome{Ending: runs.Complete}
 	}
-	if en.endless[ta.ID] || en.oversized[ta.ID] {
+	if en.endless[ta.ID] || en.oversized[ta.ID] || en.flooding[ta.ID] {
 		return en.runFaulty(ctx, ta.ID, rq.After, event)
 	}
 	software, _ := en.software.Load(ta.ID)
@@ -159,7 +161,7 @@
 	if en.oversized[target] {
 		data = strings.Repeat("x", batch.MaxTextBytes)
 	}
-	for range 5 {
+	for at := 0; at < 5 || en.flooding[target]; at++ {
 		select {
 		case <-ctx.Done():
 			return runs.Outcome{Ending: runs.Interrupted, Detail: "the caller disconnected"}
@@ -167,7 +169,10 @@
 			event(runs.Event{Data: data, Version: en.version})
 		}
 	}
-	if en.oversized[target] {
+	switch {
+	case ctx.Err() != nil:
+		return runs.Outcome{Ending: runs.Interrupted, Detail: "canceled"}
+	case en.oversized[target]:
 		return runs.Outcome{Ending: runs.Complete}
 	}
 	return runs.Outcome{Ending: runs.TooLong, Detail: fmt.Sprint("too long after ", after+5)}
@@ -445,6 +450,8 @@
 	newLink func(li *link)
 	// eventPause is the time between two events of a stream; zero means eventInterval.
 	eventPause time.Duration
+	// maxTextBytes is the setting of entries that start.
+	maxTextBytes int64
 	// questions counts those about the configuration.
 	questions atomic.Int64
 	// config replaces the configuration, logs is what the entries log.
@@ -735,7 +742,7 @@
 	}
 	an := &announcer{engines: cl.engines, sender: cl.sender, departures: &fleet.Departures{}, rates: &quota.Limits{}, limits: &cl.limits, pause: func() time.Duration { return max(cl.eventPause, eventInterval) }, started: map[string][]time.Time{}}
 	en := intake.New(
-		intake.Settings{Node: "n" + strconv.Itoa(node), Domain: "d", Inner: "n" + strconv.Itoa(node), Grace: 8 * time.Second, FirstStart: cl.firstStart},
+		intake.Settings{Node: "n" + strconv.Itoa(node), Domain: "d", Inner: "n" + strconv.Itoa(node), Grace: 8 * time.Second, FirstStart: cl.firstStart, MaxTextBytes: cl.maxTextBytes},
 		intake.Ports{Direct: li, Sender: an, Engine: an, Departures: an.departures, Rates: an.rates, Issuer: cl.issuer, Origins: cl.originsOf(node), Streamer: an, Dial: cl.dial, Configs: cl.configs, Starter: cl.starter, Boot: &cl.boot},
 		cl.decoders(), core.SystemClock{}, cl.logger, &meter.Set{},
 	)
--- a/intake/export_test.go
+++ b/intake/export_test.go
@@ -16,3 +16,6 @@
 	_, found := or.find(id)
 	return found
 }
+
+// TextBytes returns the memory that is reserved for the texts of items.
+func (en *Entry) TextBytes() int64 { return en.owner.Texts.InUse() }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -53,6 +53,8 @@
 	LowCapacity bool
 	// MaxBodyBytes bounds the total bytes of bodies in memory; zero means no bound.
 	MaxBodyBytes int64
+	// MaxTextBytes bounds the memory of the texts of items; zero means no bound.
+	MaxTextBytes int64
 	// Duties are the calls that are made by one entry at a time.
 	Duties DutySettings
 	// FirstStart is set when the whole system starts for the first time, so that no stream
@@ -210,7 +212,9 @@
 	en.owner = &runs.Owner{
 		Ledger: en.ledger, Index: en.index, Engine: po.Engine, Scorer: en,
 		Clock: clock, Logger: lg, Meters: me, Loop: en.loop, Departures: en.departures, Freshness: en.freshness, Rates: en.rates,
+		Texts: &limit.HeldBytes{},
 	}
+	en.owner.Texts.Max = se.MaxTextBytes
 	en.owner.Init(en.ctx)
 	en.lease, en.dutyClient = en.newLease(po), po.Duties
 	en.connectUsage()
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -299,6 +299,39 @@
 	}
 }
 
+// Guards against texts that together exceed the memory of an entry: those of engines that send
+// without end yield to the others, also during an outage of the store, and all memory is returned.
+func TestMemoryOfTexts(t *testing.T) {
+	for name, outage := range map[string]bool{"calm": false, "the store is down": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 1)
+				defer cl.stop()
+				cl.maxTextBytes = 300_000
+				cl.kill(0)
+				cl.start(0)
+				time.Sleep(4 * time.Second)
+				cl.engines.flooding = map[string]bool{"lm2": true}
+				jo := job("j1", 24)
+				require.Nil(t, cl.submit(0, jo))
+				if outage {
+					time.Sleep(time.Second)
+					cl.links[0].setError(table.ErrRefused)
+				}
+				for at := range 300 {
+					time.Sleep(100 * time.Millisecond)
+					require.LessOrEqual(t, cl.entries[0].TextBytes(), cl.maxTextBytes)
+					if at == 100 {
+						cl.links[0].setError(nil)
+					}
+				}
+				cl.requireComplete(0, jo)
+				require.Zero(t, cl.entries[0].TextBytes())
+			})
+		})
+	}
+}
+
 // Guards against an item that no engine can run to its end and that holds its job open for ever,
 // or is run all the time: it is errored at its time limit.
 func TestTextTooLongOnAllEngines(t *testing.T) {
--- a/limit/held.go
+++ b/limit/held.go
@@ -19,6 +19,9 @@
 //  3. Where bytes do not fit, the readers that have made no progress for MinStall are cut
 //     off, the longest stalled first, until they fit. So stalled readers do not make other
 //     requests fail.
+//  4. A holder that grows by Request asks the one that holds most to yield instead, whether or
+//     not that one makes progress, and waits until its bytes are returned. So a source without
+//     end does not make others fail.
 type HeldBytes struct {
 	ByteBudget
 
@@ -32,8 +35,9 @@
 	bytes      int64
 	progressAt time.Time
 	cut        func()
-	// ended is set when the reader was cut off or is done.
-	ended bool
+	// ended is set when the reader was cut off or is done, yields when it was asked to yield and
+	// has not ended yet.
+	ended, yields bool
 }
 
 // Hold counts bytes for a reader. cut ends the reader; it is called at most once, never
@@ -98,6 +102,41 @@
 	return true
 }
 
+// Request adds bytes to those of the holder, or asks another one to yield (rule 4). It is
+// Refused if the holder itself was asked to yield, holds most, or would exceed Max alone. After Pending the caller asks
+// again shortly: the bytes of those that yield count until they end.
+func (ho *Holder) Request(bytes int64) Grant {
+	hb := ho.owner
+	hb.mutex.Lock()
+	defer hb.mutex.Unlock()
+	switch {
+	case ho.ended || ho.yields:
+		return Refused
+	case hb.Max > 0 && ho.bytes+bytes > hb.Max: // also if no other holder has any
+		ho.yields = true
+		return Refused
+	}
+	if hb.Acquire(ho.bytes, bytes) {
+		ho.bytes += bytes
+		return Granted
+	}
+	largest := ho
+	for other := range hb.holders {
+		if other.yields {
+			return Pending
+		}
+		if other.cut != nil && other.bytes > largest.bytes {
+			largest = other
+		}
+	}
+	largest.yields = true
+	if largest == ho {
+		return Refused
+	}
+	largest.cut()
+	return Pending
+}
+
 // Shrink returns bytes that the reader has received.
 func (ho *Holder) Shrink(bytes int64) {
 	ho.owner.mutex.Lock()
@@ -121,7 +160,7 @@
 	ho.owner.mutex.Lock()
 	defer ho.owner.mutex.Unlock()
 	ho.cut = nil
-	return !ho.ended
+	return !ho.ended && !ho.yields
 }
 
 // End returns all bytes of the reader. Ending it again changes nothing.
--- a/limit/held_test.go
+++ b/limit/held_test.go
@@ -83,3 +83,29 @@
 	require.False(t, stalled.Keep())
 	require.Equal(t, 1, cut)
 }
+
+// Guards against a source without end that makes others fail: the holder that holds most yields,
+// and its bytes count until they are returned.
+func TestLargestYields(t *testing.T) {
+	hb := &limit.HeldBytes{}
+	hb.Max = 100
+	var yielded []string
+	hold := func(name string, bytes int64) *limit.Holder {
+		return hb.Hold(time.Time{}, bytes, func() { yielded = append(yielded, name) })
+	}
+	small, large, fixed := hold("small", 10), hold("large", 40), hb.Hold(time.Time{}, 45, nil)
+	require.Equal(t, limit.Granted, small.Request(5))
+	require.Equal(t, limit.Pending, small.Request(5))
+	require.Equal(t, []string{"large"}, yielded)
+	require.Equal(t, limit.Pending, small.Request(5), "one yields at a time")
+	require.Equal(t, limit.Refused, large.Request(1))
+	require.False(t, large.Keep())
+	require.Len(t, yielded, 1)
+	large.End()
+	require.Equal(t, limit.Granted, small.Request(40), "the largest one has no other to yield")
+	require.Equal(t, limit.Refused, small.Request(1), "one that cannot yield is not asked")
+	require.Equal(t, limit.Refused, small.Request(0), "it yields itself")
+	small.End()
+	fixed.End()
+	require.Zero(t, hb.InUse())
+}
--- a/runs/engine.go
+++ b/runs/engine.go
@@ -145,6 +145,8 @@
 	startedAt time.Time
 	// software is the version of the engine's software.
 	software string
+	// text counts the memory of the events; it may be nil.
+	text *heldText
 	// sample is what the long-run pace of the engine has counted of this run.
 	sample paceSample
 
@@ -161,6 +163,9 @@
 const paceGaps = 5
 
 func (ru *run) add(now time.Time, ev Event) {
+	if ru.text != nil && !ru.text.grow(ev) {
+		return
+	}
 	ru.mutex.Lock()
 	defer ru.mutex.Unlock()
 	if ru.closed {
--- a/runs/job.go
+++ b/runs/job.go
@@ -38,7 +38,9 @@
 	items   []*item
 	// results are ready but not listed, the oldest since readySince. lastWriteAt is when
 	// the last write began.
-	results     []batch.Result
+	results []batch.Result
+	// heldTexts are the texts of the results, nil for one without.
+	heldTexts   []*heldText
 	readySince  time.Time
 	lastWriteAt time.Time
 	// pendingWrite is the write of the first pendingCount results until its outcome
@@ -52,8 +54,10 @@
 	// savedAt is when partial texts were last checked for a save, saving is set while
 	// a save is in flight. obsoleteRows are the rows of partial texts whose items are
 	// decided.
-	savedAt      time.Time
-	saving       bool
+	savedAt time.Time
+	saving  bool
+	// saveFrom is the item at which the next save begins.
+	saveFrom     int
 	obsoleteRows []table.ID
 	// storeFailing is set while writes of results fail.
 	storeFailing bool
@@ -126,6 +130,7 @@
 		}
 		it.events, it.versions, it.software, it.resumed, it.complete = pa.Events, pa.Versions, pa.Software, true, pa.Complete
 		it.emptyEnds = 0
+		it.releaseText() // another text
 		used++
 	}
 	return used
@@ -137,6 +142,8 @@
 	state    itemState
 	events   []string
 	versions []uint64
+	// text counts the memory of the events; nil before the first run.
+	text *heldText
 	// software is the version of the software that generated the events.
 	software string
 	complete bool
@@ -213,13 +220,7 @@
 }
 
 // textBytes returns the size of the text without the run in progress.
-func (it *item) textBytes() int {
-	sum := 0
-	for _, ev := range it.events {
-		sum += len(ev) + 1
-	}
-	return sum
-}
+func (it *item) textBytes() int { return batch.Partial{Events: it.events}.TextBytes() }
 
 // eventCount returns the number of events so far, including the run in progress.
 func (it *item) eventCount() int {
@@ -252,6 +253,7 @@
 // reset discards the generated text.
 func (it *item) reset() {
 	it.events, it.versions, it.software, it.complete, it.emptyEnds = nil, nil, "", false, 0
+	it.releaseText()
 }
 
 // requiredSoftware returns the version of the software that can continue the text, empty if
--- a/runs/lifecycle.go
+++ b/runs/lifecycle.go
@@ -172,6 +172,7 @@
 			it.run.cancel()
 			it.run = nil
 		}
+		it.releaseText()
 		if pa, found := it.partial(jo); found && (why == dropEnded || why == dropReleased) && !jo.groupDone(it.item.Group) {
 			partials = append(partials, pa)
 		}
@@ -179,6 +180,7 @@
 	logs.Info(ow.Logger, "job dropped", "id", jo.body.ID, "why", why, "listed", jo.known.Head.Listed,
 		"total", jo.known.Head.Total, "partials", len(partials), "age", jo.known.Head.Age(ow.Clock.Now()))
 	jo.unlisted = partials
+	jo.releaseTexts(len(jo.heldTexts))
 	ow.place()
 	if why == dropReleased || why == dropReplaced {
 		return
@@ -242,7 +244,8 @@
 	if len(jo.results) == 0 {
 		jo.readySince = ow.Clock.Now()
 	}
-	jo.results = append(jo.results, it.result(state, score))
+	jo.results, jo.heldTexts = append(jo.results, it.result(state, score)), append(jo.heldTexts, it.text)
+	it.text = nil
 	if !jo.writeScheduled {
 		jo.writeScheduled = true
 		ow.postAfter(jo.lastWriteAt.Add(writeInterval).Sub(ow.Clock.Now()), func() {
--- a/runs/list.go
+++ b/runs/list.go
@@ -69,6 +69,7 @@
 	switch {
 	case err == nil:
 		jo.results, jo.pendingWrite, jo.readySince = jo.results[jo.pendingCount:], nil, ow.Clock.Now()
+		jo.releaseTexts(jo.pendingCount)
 		jo.known = vh
 		ow.Index.Put(jo.body.ID, vh)
 		ow.Meters.Count("results-listed", jo.route.Name, int64(jo.pendingCount))
@@ -132,15 +133,22 @@
 		partials []batch.Partial
 		items    = map[string]*item{}
 	)
-	for _, it := range jo.items {
+	size := 0
+	jo.savedAt = now
+	for range jo.items {
+		it := jo.items[jo.saveFrom%len(jo.items)]
+		jo.saveFrom = (jo.saveFrom + 1) % len(jo.items)
 		if it.state != running && it.state != waiting {
 			continue
 		}
 		if pa, _ := it.partial(jo); len(pa.Events) >= it.savedEvents+minSaveEvents {
 			partials, items[pa.ID] = append(partials, pa), it
+			if size += pa.TextBytes(); size > maxSaveBytes {
+				jo.savedAt = time.Time{} // the others follow when these are saved
+				break
+			}
 		}
 	}
-	jo.savedAt = now
 	if len(partials) == 0 {
 		return
 	}
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -15,6 +15,7 @@
 	"bilberryshelf/batch"
 	"bilberryshelf/core"
 	"bilberryshelf/fleet"
+	"bilberryshelf/limit"
 	"bilberryshelf/meter"
 	"bilberryshelf/quota"
 )
@@ -101,6 +102,8 @@
 	Departures *fleet.Departures
 	// Rates holds the limits that targets announced; nil means none.
 	Rates *quota.Limits
+	// Texts bounds the memory of the texts; nil means no bound.
+	Texts *limit.HeldBytes
 
 	ctx         context.Context
 	jobs        map[string]*job
@@ -163,6 +166,9 @@
 	// events are not worth the bytes written.
 	saveInterval  = time.Second
 	minSaveEvents = 12
+	// maxSaveBytes bounds the texts that are saved at a time, in bytes: they are held encoded
+	// too, and until they are written even if their items have discarded them.
+	maxSaveBytes = 2 << 20
 	// partialsTimeout limits the reads of the partial texts of an earlier job or
 	// owner. By then the items have generated as much themselves.
 	partialsTimeout = time.Second
@@ -172,6 +178,9 @@
 // be called before Run; their effects are kept.
 func (ow *Owner) Init(ctx context.Context) {
 	ow.ctx = ctx
+	if ow.Texts == nil {
+		ow.Texts = &limit.HeldBytes{}
+	}
 	ow.jobs, ow.engines = map[string]*job{}, map[string]*engine{}
 	ow.routePartials, ow.announced = map[string]map[string]batch.Partial{}, map[string]uint64{}
 	ow.servedModels, ow.loads = map[string]string{}, map[string]load{}
@@ -200,12 +209,14 @@
 	}
 	for _, jo := range ow.jobs {
 		ow.expire(now, jo)
+		ow.discardYielded(now, jo)
 		ow.writeResults(now, jo)
 		ow.savePartials(now, jo)
 	}
 	for _, jo := range ow.jobs {
 		ow.emptyEngines(now, jo)
 	}
+	ow.Meters.Gauge("text-bytes", "", ow.Texts.InUse())
 	ow.place()
 }
 
--- a/runs/step.go
+++ b/runs/step.go
@@ -175,7 +175,11 @@
 	}
 	it.beginsAnew = false
 	ctx, cancel := context.WithCancel(ow.ctx)
-	ru := &run{engine: en, job: jo, item: it, cancel: cancel, startedAt: now, software: en.target.Software}
+	if it.text == nil {
+		it.text = ow.holdText(now, it.textCost())
+	}
+	it.text.setRun(cancel)
+	ru := &run{engine: en, job: jo, item: it, cancel: cancel, startedAt: now, software: en.target.Software, text: it.text}
 	it.state, it.run = running, ru
 	if it.runCount++; it.runCount == 1 {
 		it.firstRunAge = jo.known.Head.Age(now)
@@ -253,9 +257,13 @@
 // item needs next.
 func (ow *Owner) continueItem(now time.Time, ru *run, out Outcome, events []Event) {
 	en, it, jo := ru.engine, ru.item, ru.job
-	if out.Ending == TooLong {
+	switch {
+	case out.Ending == TooLong:
 		ow.discardText(now, jo, it, en, out.Detail)
 		return
+	case it.text.hasYielded():
+		ow.yieldRun(now, jo, it, en)
+		return
 	}
 	before := len(it.events)
 	it.appendEvents(events, ru.software, jo.body.MinVersion)
@@ -298,17 +306,22 @@
 // kept: a sound engine that continued it would have nothing to add. The item is not errored
 // before its time limit, since its text is not known to be too long on other engines.
 func (ow *Owner) discardText(now time.Time, jo *job, it *item, en *engine, why string) {
-	logs.Warn(ow.Logger, "text discarded", "job", jo.body.ID, "id", it.item.ID, "engine", en.target.ID, "events", len(it.events), "why", why)
-	ow.Meters.Count("texts-discarded", jo.route.Name, 1)
-	jo.obsoleteRows = append(jo.obsoleteRows, it.rows...)
-	it.rows, it.savedEvents = nil, 0
-	it.reset()
-	it.avoid, it.resumed = en.target.ID, false
+	ow.dropText(jo, it, "texts-discarded", why+", engine "+en.target.ID)
+	it.avoid = en.target.ID
 	it.notBefore = now.Add(min(tooLongBackoff<<min(it.tooLong, 8), maxTooLongBackoff))
 	it.tooLong++
 	en.backOffInterrupted(now)
 }
 
+// dropText drops the text of an item and what was saved of it.
+func (ow *Owner) dropText(jo *job, it *item, metric, why string) {
+	logs.Warn(ow.Logger, "text discarded", "job", jo.body.ID, "id", it.item.ID, "events", len(it.events), "why", why)
+	ow.Meters.Count(metric, jo.route.Name, 1)
+	jo.obsoleteRows = append(jo.obsoleteRows, it.rows...)
+	it.rows, it.savedEvents, it.resumed = nil, 0, false
+	it.reset()
+}
+
 // recordOutcome updates the backoff of the engine, or that of the item, after a run.
 func (ow *Owner) recordOutcome(now time.Time, en *engine, ru *run, out Outcome, events int) {
 	switch {
@@ -339,6 +352,7 @@
 		return
 	}
 	it.state, it.completeSince = scoring, ow.Clock.Now()
+	ow.keepText(it.completeSince, it)
 	ow.longestText[jo.route.Name] = max(ow.longestText[jo.route.Name], len(it.events))
 	ow.score(jo, it)
 }
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -36,7 +36,10 @@
 	// crowdDescriptors is the descriptor limit of the process, of which sockets must leave
 	// fileDescriptors free.
 	crowdDescriptors = 1024
-	fileDescriptors  = 200
+	// maxAddressSpace ends a process that takes far more than its machine has, in KiB, before
+	// it takes the memory of the computer.
+	maxAddressSpace = 4 << 20
+	fileDescriptors = 200
 	// crowdSpan is how long a crowd sends. Its clients connect again when they are closed.
 	crowdSpan = 5 * time.Second
 	// crowdHeader is max_header_bytes of the configuration.
@@ -143,7 +146,7 @@
 
 // start starts the process with the machine's limits.
 func (ma *machine) start(pr *process) {
-	pr.args = append([]string{"-c", fmt.Sprintf(`ulimit -n %d; %s exec "$0" "$@"`, crowdDescriptors, ma.env), binary}, pr.args...)
+	pr.args = append([]string{"-c", fmt.Sprintf(`ulimit -n %d; ulimit -v %d; %s exec "$0" "$@"`, crowdDescriptors, maxAddressSpace, ma.env), binary}, pr.args...)
 	ma.binary, ma.process = "/bin/sh", pr
 	ma.entries = []*process{pr}
 	ma.cluster.start(pr)
