--- a/limit/held.go
+++ b/limit/held.go
@@ -137,6 +137,24 @@
 	return Pending
 }
 
+const (
+	// requestInterval is the time between two requests for memory that another holder is to
+	// return, and requestPatience bounds the wait. A peer cuts off what is unread for some
+	// seconds.
+	requestInterval = 2 * time.Millisecond
+	requestPatience = time.Second
+)
+
+// Await requests bytes and waits while they are pending. It reports whether they were granted.
+func (ho *Holder) Await(bytes int64, sleep func(time.Duration)) bool {
+	grant := ho.Request(bytes)
+	for waited := time.Duration(0); grant == Pending && waited < requestPatience; waited += requestInterval {
+		sleep(requestInterval)
+		grant = ho.Request(bytes)
+	}
+	return grant == Granted
+}
+
 // Shrink returns bytes that the reader has received.
 func (ho *Holder) Shrink(bytes int64) {
 	ho.owner.mutex.Lock()
--- a/runs/text.go
+++ b/runs/text.go
@@ -14,11 +14,6 @@
 	eventCost = 128
 	// textChunk is the size of the pieces in which a text reserves memory, in bytes.
 	textChunk = 4 << 10
-	// memoryPoll is the pause between two requests for memory while another text yields, and
-	// memoryPatience bounds the wait: an engine cuts off a stream that is unread for some
-	// seconds.
-	memoryPoll     = 2 * time.Millisecond
-	memoryPatience = time.Second
 	// yieldBackoff is how long an item waits after its text had to yield.
 	yieldBackoff = 500 * time.Millisecond
 )
@@ -64,12 +59,7 @@
 	size := int64(len(ev.Data)) + eventCost
 	if size > ht.spare {
 		more := max(size-ht.spare, textChunk)
-		grant := ht.holder.Request(more)
-		for waited := time.Duration(0); grant == limit.Pending && waited < memoryPatience; waited += memoryPoll {
-			time.Sleep(memoryPoll)
-			grant = ht.holder.Request(more)
-		}
-		if grant != limit.Granted {
+		if !ht.holder.Await(more, time.Sleep) {
 			ht.yield()
 			return false
 		}
--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -65,6 +65,16 @@
 	return padding
 }
 
+// slowEvent is an event that is nearly as large as permitted and goes on byte by byte, so that
+// all streams hold one at the same time.
+func slowEvent(number int) string {
+	if size := number * len(padding); size < 250<<10 {
+		return lineWithoutEnd(number)
+	}
+	time.Sleep(50 * time.Millisecond)
+	return "x"
+}
+
 func commentsWithoutEnd(int) string { return ": " + padding + "\n\n" }
 
 // soundEvents are complete events in order.
@@ -109,6 +119,8 @@
 
 func TestCrowdStreamsLineWithoutEnd(t *testing.T) { meetStreams(t, lineWithoutEnd) }
 
+func TestCrowdStreamsSlowEvent(t *testing.T) { meetStreams(t, slowEvent) }
+
 func TestCrowdStreamsCommentsWithoutEnd(t *testing.T) { meetStreams(t, commentsWithoutEnd) }
 
 func TestCrowdStreamsSoundEvents(t *testing.T) { meetStreams(t, soundEvents) }
@@ -176,4 +188,6 @@
 
 func TestCrowdStepLineWithoutEnd(t *testing.T) { runStep(t, 3, lineWithoutEnd) }
 
+func TestCrowdStepSlowEvent(t *testing.T) { runStep(t, 3, slowEvent) }
+
 func TestCrowdStepCommentsWithoutEnd(t *testing.T) { runStep(t, 3, commentsWithoutEnd) }
