entry, guard: answers without end take bounded memory

An entry of the product kept the whole text of each stream that it forwarded, to compare it with the answer that goes on after a cut, and up to 4 MiB of each plain answer, of any number of them; a sample kept its text, and a guard each change of its version. A target that sends without end could fill the memory.

Change: a stream is compared by length and hash, as large answers are. Plain answers are buffered up to 64 MiB together and forwarded as they arrive beyond that. A sample's text has at most 1 MiB, its version at most 1,000 changes; the answer counts as cut beyond that.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -71,6 +71,8 @@
 	// requests counts the HTTP requests in progress.
 	requests sync.WaitGroup
 	draining atomic.Bool
+	// buffered counts the answers that are buffered until they are complete.
+	buffered limit.ByteBudget
 
 	state
 }
@@ -158,6 +160,7 @@
 		},
 	}
 	en.view.Store(&view{})
+	en.buffered.Max = maxBufferedTotal
 	return en
 }
 
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -138,6 +138,10 @@
 	onProgress func(tokens int)
 }
 
+// maxSampleText is the largest text of a sample, in bytes: eight for each token that a sample
+// may ask for by default.
+const maxSampleText = 1 << 20
+
 // progressInterval is the number of tokens between two progress reports.
 const progressInterval = 64
 
@@ -155,6 +159,9 @@
 		if ev.Failed {
 			return core.InDoubt(core.CodeAnswerCut, "the engine ended its stream with an error")
 		}
+		if tr.text.Len()+len(ev.Text) > maxSampleText {
+			return core.InDoubt(core.CodeAnswerTooLarge, "the text of a sample is larger than %d bytes", maxSampleText)
+		}
 		tr.text.WriteString(ev.Text)
 		before := tr.tokens
 		if tr.tokens += ev.Tokens; tr.tokens/progressInterval > before/progressInterval {
--- a/entry/http.go
+++ b/entry/http.go
@@ -293,7 +293,8 @@
 // may-have-run; the caller can safely send the key again.
 func (en *Entry) respond(out http.ResponseWriter, req *http.Request, rq *request) *core.Error {
 	out.Header().Set(headerRequest, rq.id)
-	rp := &reply{out: out, completion: rq.completion}
+	rp := &reply{out: out, completion: rq.completion, buffered: &en.buffered}
+	defer rp.release()
 	er := en.perform(req.Context(), rq, rp)
 	if er == nil {
 		return nil
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -12,6 +12,7 @@
 
 	"bilberryshelf/core"
 	"bilberryshelf/engine"
+	"bilberryshelf/limit"
 	"bilberryshelf/wire"
 )
 
@@ -30,6 +31,10 @@
 // is buffered until it is complete.
 const maxBufferedBytes = 4 << 20
 
+// maxBufferedTotal is the size up to which all answers together are buffered. An answer beyond
+// it is forwarded as it arrives, as one beyond maxBufferedBytes is.
+const maxBufferedTotal = 64 << 20
+
 // reply forwards an answer to a caller: an event stream event by event, any other
 // answer once it is complete, unless it exceeds maxBufferedBytes. If a partly
 // forwarded answer is interrupted, the answer of the next attempt must begin with
@@ -40,23 +45,23 @@
 	status     int
 	header     http.Header
 	target     string
-	// body buffers an answer that is sent once it is complete.
-	body []byte
+	// body buffers an answer that is sent once it is complete; buffered counts the buffers of
+	// all answers.
+	body     []byte
+	buffered *limit.ByteBudget
 	// sent reports whether the head has been sent; aborted, whether the answer
 	// can no longer be completed.
 	sent    bool
 	events  bool
 	aborted bool
 
-	// For an event stream: the text sent to the caller, the text of the current
-	// answer so far, and whether its last event has arrived.
-	stream   engine.Parser
-	sentText string
-	repeated string
-	ended    bool
+	// For an event stream: its parser, and whether the last event has arrived.
+	stream engine.Parser
+	ended  bool
 
-	// For a large answer: length and hash of the bytes sent to the caller, and
-	// of those that the current answer has repeated.
+	// For an event stream and a large answer: length and hash of the text or the bytes
+	// sent to the caller, and of those that the current answer has repeated. The text
+	// itself is not kept: it may have no end.
 	sentBytes int64
 	sentHash  *xxhash.Digest
 	skipped   int64
@@ -78,12 +83,21 @@
 		return rp.abort("the next answer is of another kind (status or content type) than the one that was cut")
 	}
 	rp.status, rp.header, rp.target, rp.events = int(head.Status), header, target, events
-	rp.body, rp.repeated, rp.ended = nil, "", false
-	rp.stream = engine.Parser{}
+	rp.release()
+	rp.ended, rp.stream = false, engine.Parser{}
 	rp.skipped, rp.skipHash = 0, xxhash.New()
+	if rp.sentHash == nil {
+		rp.sentHash = xxhash.New()
+	}
 	return nil
 }
 
+// release drops the buffer.
+func (rp *reply) release() {
+	rp.buffered.Release(int64(len(rp.body)))
+	rp.body = nil
+}
+
 func (rp *reply) abort(reason string) *core.Error {
 	rp.aborted = true
 	return core.InDoubt(core.CodeAnswerCut, "%s", reason)
@@ -96,15 +110,17 @@
 	case rp.sent:
 		return rp.receiveLarge(raw)
 	}
-	rp.body = append(rp.body, raw...)
-	if len(rp.body) <= maxBufferedBytes {
+	fits := len(rp.body)+len(raw) <= maxBufferedBytes
+	if fits && rp.buffered.Acquire(int64(len(rp.body)), int64(len(raw))) {
+		rp.body = append(rp.body, raw...)
 		return nil
 	}
 	rp.sendHead()
-	rp.sentHash = xxhash.New()
-	body := rp.body
-	rp.body = nil
-	return rp.receiveLarge(body)
+	defer rp.release()
+	if er := rp.receiveLarge(rp.body); er != nil {
+		return er
+	}
+	return rp.receiveLarge(raw)
 }
 
 // receiveEvents forwards complete events. Events that repeat text already sent are
@@ -115,19 +131,21 @@
 			return core.InDoubt(core.CodeAnswerCut, "the target ended its stream with an error")
 		}
 		rp.ended = rp.ended || ev.Done
-		if len(rp.repeated) < len(rp.sentText) && !ev.Done {
-			rp.repeated += ev.Text
-			if len(rp.repeated) > len(rp.sentText) || !strings.HasPrefix(rp.sentText, rp.repeated) {
+		if rp.skipped < rp.sentBytes && !ev.Done {
+			rp.skipped += int64(len(ev.Text))
+			_, _ = rp.skipHash.WriteString(ev.Text)
+			if rp.skipped > rp.sentBytes || (rp.skipped == rp.sentBytes && rp.skipHash.Sum64() != rp.sentHash.Sum64()) {
 				return rp.abort("the next answer differs from the one that was cut")
 			}
 			continue
 		}
-		if len(rp.repeated) < len(rp.sentText) {
+		if rp.skipped < rp.sentBytes {
 			return rp.abort("the next answer is shorter than the one that was cut")
 		}
 		rp.sendHead()
-		rp.repeated += ev.Text
-		rp.sentText = rp.repeated
+		rp.sentBytes += int64(len(ev.Text))
+		_, _ = rp.sentHash.WriteString(ev.Text)
+		rp.skipped = rp.sentBytes
 		if _, err := rp.out.Write(ev.Raw); err != nil {
 			return rp.abort("the caller disconnected")
 		}
--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -270,7 +270,7 @@
 		}
 		switch {
 		case af.streamFailed:
-			return errors.New("the engine reported an error, or an event is too large")
+			return errors.New("the engine reported an error, an event is too large, or the version changes too often")
 		case ended:
 			return nil
 		}
@@ -324,6 +324,10 @@
 	af.send(&wire.DispatchFrame{Frame: &wire.DispatchFrame_End{End: end}})
 }
 
+// maxSegments bounds the changes of the version in one answer. An engine changes its version
+// once in seconds.
+const maxSegments = 1000
+
 // recordVersions adds the reported versions of new tokens to the segments. Consecutive
 // tokens of the same version form one segment.
 func (af *answerForwarder) recordVersions(events []engine.Event) {
@@ -338,6 +342,10 @@
 			af.segments[last].Tokens += int32(ev.Tokens)
 			continue
 		}
+		if len(af.segments) == maxSegments {
+			af.streamFailed = true
+			return
+		}
 		af.segments = append(af.segments, &wire.Segment{Version: ev.Version, Tokens: int32(ev.Tokens)})
 	}
 }
