server: an incomplete response to an HTTP/1.0 caller is reset

Callers of HTTP/1.0 got a 200 that ended as whole after a part of a stream whose target had broken off, or after a part of a large answer of the product's own entry.

Cause: such a response was ended by closing the connection, which is how a whole response to HTTP/1.0 ends.

Change: server.Abort resets the connection if the request is older than HTTP/1.1; otherwise the missing last chunk shows it, as before.

--- a/entry/http.go
+++ b/entry/http.go
@@ -302,7 +302,7 @@
 	if rq.keyed && er.Verdict == core.NotRun && er.Code != core.CodeKeyConflict {
 		er = er.WithVerdict(core.MayHaveRun)
 	}
-	rp.fail(er)
+	rp.fail(req, er)
 	return nil
 }
 
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -13,6 +13,7 @@
 	"bilberryshelf/core"
 	"bilberryshelf/engine"
 	"bilberryshelf/limit"
+	"bilberryshelf/server"
 	"bilberryshelf/wire"
 )
 
@@ -215,7 +216,7 @@
 // fail ends a reply with an error. If part of the answer has been sent, it aborts
 // the connection, in a stream after an error event, so that a truncated answer
 // never looks complete.
-func (rp *reply) fail(er *core.Error) {
+func (rp *reply) fail(req *http.Request, er *core.Error) {
 	if !rp.sent {
 		writeError(rp.out, er)
 		return
@@ -224,7 +225,7 @@
 		fmt.Fprintf(rp.out, "data: %s\n\n", errorBody(er)) // errors are ignored, since the connection is aborted next
 		_ = http.NewResponseController(rp.out).Flush()
 	}
-	panic(http.ErrAbortHandler)
+	server.Abort(rp.out, req)
 }
 
 // errorReply is the body of every error response: that of the completions
--- a/entry/reply_internal_test.go
+++ b/entry/reply_internal_test.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -12,6 +15,7 @@
 
 	"bilberryshelf/core"
 	"bilberryshelf/limit"
+	"bilberryshelf/server"
 	"bilberryshelf/wire"
 )
 
@@ -138,3 +142,29 @@
 	require.Equal(t, core.CodeAnswerTooLarge, failed.Code)
 	require.LessOrEqual(t, tr.text.Len(), maxSampleText)
 }
+
+// Guards against a large answer that breaks off and looks whole to a caller of HTTP/1.0, for
+// whom the end of the connection is the end of the answer.
+func TestCutAnswerOfOldCaller(t *testing.T) {
+	se := &server.Server{Handler: http.HandlerFunc(func(out http.ResponseWriter, req *http.Request) {
+		rp := newReply(out, &limit.ByteBudget{})
+		_ = rp.begin(head("application/json"), "t")
+		_ = rp.receive(make([]byte, maxBufferedBytes+1))
+		rp.fail(req, core.InDoubt(core.CodeAnswerCut, "cut"))
+	})}
+	require.NoError(t, se.Listen("127.0.0.1:0"))
+	go func() { _ = se.Run() }()
+	defer se.Abort()
+	for _, version := range []string{"1.0", "1.1"} {
+		conn, err := net.Dial("tcp", se.Addr())
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(conn, "GET / HTTP/%s\r\nHost: h\r\n\r\n", version)
+		require.NoError(t, err)
+		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil {
+			_, err = io.ReadAll(res.Body)
+		}
+		require.Error(t, err, version)
+		_ = conn.Close()
+	}
+}
