calls: targets that fail again and again are not used while others are full

With as many callers as the sound targets have slots, beside faulty targets, 60% of the answers were 502 in some measurements: a request that found the sound targets full went to a faulty one in backoff and ended with an error that promises nothing, although it could have been refused as not run.

Cause: targets in backoff were the last choice, but a choice, whatever the reason why the others did not take the request.

Change: a target with three failures in a row is not used during its backoff while another one is sound: it has answered within 10 s and not failed since. If none is sound, all are tried as before. The caller is refused with the usual Retry-After.

--- a/calls/balancer.go
+++ b/calls/balancer.go
@@ -33,6 +33,11 @@
 	// minRetryAfter and maxRetryAfter bound the retry-after time of a refusal.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// faultyAfter is the number of consecutive failures from which a target in backoff is not
+	// used while a sound one exists, and soundFor is how long a response shows that a target is
+	// sound.
+	faultyAfter = 3
+	soundFor    = 10 * time.Second
 	// versionRetention bounds the memory of software versions that are gone.
 	versionRetention = 10 * time.Minute
 )
@@ -151,9 +156,9 @@
 	ba.mutex.Lock()
 	defer ba.mutex.Unlock()
 	var classes [classCount][]fleet.Target
-	mean := ba.meanLatency(service)
+	mean, avoid := ba.meanLatency(service), ba.hasSound(now, service, accepts)
 	for _, ta := range ba.services[service] {
-		if slices.Contains(tried, ta.ID) || (accepts != nil && !accepts(ta)) {
+		if slices.Contains(tried, ta.ID) || (accepts != nil && !accepts(ta)) || (avoid && ba.stats[ta.ID].faulty(now)) {
 			continue
 		}
 		cl := ba.class(now, ta, mean)
@@ -173,6 +178,20 @@
 	return fleet.Target{}, limited, false
 }
 
+// hasSound reports whether a target of a service has not failed since its last response, which
+// was not long ago. It may be full.
+func (ba *Balancer) hasSound(now time.Time, service string, accepts func(fleet.Target) bool) bool {
+	return slices.ContainsFunc(ba.services[service], func(ta fleet.Target) bool {
+		ts := ba.stats[ta.ID]
+		return ts.failures == 0 && !ts.lastUsed.IsZero() && now.Sub(ts.lastUsed) < soundFor && (accepts == nil || accepts(ta))
+	})
+}
+
+// faulty reports whether a target fails again and again, and is in backoff.
+func (ts *targetStats) faulty(now time.Time) bool {
+	return ts.failures >= faultyAfter && now.Before(ts.backoffUntil)
+}
+
 // The classes of targets in order of preference.
 const (
 	warm = iota // in the entry's region, recently used, no request in flight, low load
--- a/calls/calls.go
+++ b/calls/calls.go
@@ -21,7 +21,9 @@
 //  4. No request is run by more targets than its route permits.
 //  5. A request that may run only once is never sent again if it may have run.
 //  6. A target that fails is avoided for a time that grows with each consecutive
-//     failure.
+//     failure. After faultyAfter failures it is not used at all in that time while another
+//     target is sound, even if that one is full: a refusal at once tells the caller that the
+//     request can be sent again, the error of a faulty target does not.
 //  7. A stream is forwarded event by event and never sent to two targets at once. A
 //     resumable stream continues at another target after its last complete event if
 //     the connection breaks or no event arrives for streamIdleTimeout. The caller sees
