calls: a stream with more events than tokens is aborted

Callers got a stream of thousands of events of a faulty target as complete: when it broke, it was resumed at sound targets, which had no event to add, and two of them confirm an end.

Change: a stream that can be resumed may have as many events as the request asks for output tokens (Bilberryshelf-Token-Count), the bound that items have. One more aborts it, and it is not resumed. Without that header the number of events is not known, and such a stream still ends as complete.

Measured: TestStreamWithoutEndIsNotComplete, which ended as complete with 30 events of 10 before.

--- a/calls/calls.go
+++ b/calls/calls.go
@@ -113,6 +113,9 @@
 	Deferred bool
 	// LastEventID is the id of the last event of a stream that the caller received.
 	LastEventID int
+	// MaxEvents is the most events that a stream may have, one for each token that the caller
+	// asks for; zero if that is not known.
+	MaxEvents int
 	// Resumes is the id of the caller's request that got the first event of the stream;
 	// empty if the caller did not say.
 	Resumes string
--- a/calls/stream.go
+++ b/calls/stream.go
@@ -94,7 +94,7 @@
 			return nil
 		}
 		st.accept(outcome{target: ta, err: err})
-		if callerDisconnected(err) || (err.Code == core.CodeOutdated && !st.waitForTarget(ctx)) {
+		if callerDisconnected(err) || err.Code == core.CodeTextTooLong || (err.Code == core.CodeOutdated && !st.waitForTarget(ctx)) {
 			return err
 		}
 		st.logResumption(ta, err)
@@ -160,6 +160,9 @@
 			watch.Reset(max(idleLimit-idle, 0))
 			return err
 		}
+		if most := st.re.MaxEvents; most > 0 && id > most && repeatable(st.re.Route) {
+			return core.InDoubt(core.CodeTextTooLong, "event %d of target %s, at most %d were asked for", id, ta.ID, most)
+		}
 		if first == 0 {
 			first = fo.Clock.Now().Sub(began)
 		}
--- a/core/error.go
+++ b/core/error.go
@@ -38,6 +38,7 @@
 	CodeAnswerCut        Code = "answer-cut"
 	CodeAnswerDropped    Code = "answer-dropped"
 	CodeAnswerTooLarge   Code = "answer-too-large"
+	CodeTextTooLong      Code = "text-too-long"
 	CodeOldIncarnation   Code = "old-incarnation"
 	CodeStaleRevision    Code = "stale-revision"
 	CodeSettledNotRun    Code = "settled-not-run"
