--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -92,6 +92,16 @@
 
 var padding = strings.Repeat("x", 2000)
 
+// addFaultyServices adds faulty targets of the service of plain requests and scoring calls.
+func (ma *machine) addFaultyServices(count int, next func(number int) string) {
+	for at := range count {
+		fe := newFaultyEngine(fmt.Sprintf("p%d", at), next)
+		fe.Models = nil
+		go ma.register(ma.t.Context(), &fe.Target, "desk", listen(ma.t, fe))
+	}
+	time.Sleep(time.Second) // until the entry lists them
+}
+
 // addFaultyEngines adds faulty engines and a second sound one.
 func (ma *machine) addFaultyEngines(count int, next func(number int) string) {
 	for at := range count {
@@ -125,16 +135,42 @@
 
 func TestCrowdStreamsSoundEvents(t *testing.T) { meetStreams(t, soundEvents) }
 
+// Plain requests get bodies without end from some targets.
+func TestCrowdPlainWithoutEnd(t *testing.T) {
+	ma := newMachine(t, true)
+	ma.addFaultyServices(3, soundEvents)
+	ma.meet(ma.callers, crowd{connections: 300, discard: true, send: converse(func(number int64) string {
+		return fmt.Sprintf("POST /look/x HTTP/1.1\r\nHost: h\r\nBilberryshelf-Request-Id: p%d\r\nBilberryshelf-Deadline-Ms: 2000\r\nContent-Length: 1\r\n\r\nx", number)
+	})})
+}
+
+// The calls that score the texts of a step get answers without end from some targets.
+func TestCrowdStepFaultyScorers(t *testing.T) {
+	ma := newMachine(t, true)
+	ma.addFaultyServices(2, soundEvents)
+	ma.runStep(func(item map[string]any) {
+		item["scorer_url"] = map[string]any{"id": "s-" + item["id"].(string), "host": "h", "path": "/look/s", "body": []byte("x")}
+	})
+}
+
 // runStep runs a step of 216 items beside faulty engines and requires all results: a text
 // without end is neither listed nor does it hold up the others.
 func runStep(t *testing.T, faulty int, next func(number int) string) {
 	t.Helper()
-	const count = 216
 	ma := newMachine(t, true)
 	ma.addFaultyEngines(faulty, next)
+	ma.runStep(func(map[string]any) {})
+}
+
+// runStep runs the step. change may change an item before it is submitted.
+func (ma *machine) runStep(change func(item map[string]any)) {
+	const count = 216
+	t := ma.t
+	t.Helper()
 	items := []map[string]any{}
 	for at := range count {
 		items = append(items, map[string]any{"id": itemID("j", at), "path": "/train/i", "group": fmt.Sprint(at / 4), "body": []byte("x")})
+		change(items[at])
 	}
 	body, err := json.Marshal(map[string]any{"step": 0, "model": "m", "min_version": 1, "target_groups": count / 4, "requests": items})
 	require.NoError(t, err)
