intake, calls, runs: functions of the last changes are split

No behavior changes but one: a run whose text was replaced by a stored one does not discard the stored one when it ends as too long.

--- a/calls/stream.go
+++ b/calls/stream.go
@@ -160,9 +160,6 @@
 			watch.Reset(max(idleLimit-idle, 0))
 			return err
 		}
-		if most := st.re.MaxEvents; most > 0 && id > most && repeatable(st.re.Route) {
-			return core.InDoubt(core.CodeTextTooLong, "event %d of target %s, at most %d were asked for", id, ta.ID, most)
-		}
 		if first == 0 {
 			first = fo.Clock.Now().Sub(began)
 		}
@@ -171,7 +168,7 @@
 			st.firstEventAfter = fo.Clock.Now().Sub(started)
 			st.recordFirstEvent()
 		}
-		if err := st.forward(raw); err != nil {
+		if err := st.forwardEvent(ta, id, raw); err != nil {
 			return err
 		}
 		st.events++
@@ -199,6 +196,15 @@
 	return st.confirmEnd(ta, err, st.events-before)
 }
 
+// forwardEvent passes an event on to the caller, unless it is beyond those that the caller asks
+// for (rule 7).
+func (st *stream) forwardEvent(ta fleet.Target, id int, raw []byte) error {
+	if most := st.re.MaxEvents; most > 0 && id > most && repeatable(st.re.Route) {
+		return core.InDoubt(core.CodeTextTooLong, "event %d of target %s, at most %d were asked for", id, ta.ID, most)
+	}
+	return st.forward(raw)
+}
+
 // endConfirmations is the number of targets that must say that a stream is complete, if they
 // send no event of it.
 const endConfirmations = 2
--- a/intake/calls.go
+++ b/intake/calls.go
@@ -71,21 +71,16 @@
 			ID: sc.ID, Method: http.MethodPost, URI: sc.Path, Host: sc.Host, Header: http.Header{}, Body: sc.Body,
 			Route: route, Deadline: en.clock.Now().Add(timeout), Patience: timeout, Deferred: true,
 		})
-		switch {
-		case failed != nil:
+		if err = checkScore(rs); failed != nil {
 			err = failed
-		case rs.Status/100 == 2 && len(rs.Stamp) > batch.MaxScoreBytes:
-			err = errors.Newf("scoring call: a score of %d bytes", len(rs.Stamp))
-		case rs.Status/100 == 2 && rs.Stamp != "":
+		}
+		if err == nil {
 			return rs.Stamp, 0, nil
-		case rs.Status == http.StatusInternalServerError:
-			failures++
-			err = errors.Newf("scoring call failed %d times", failures)
-			if failures >= max(route.Attempts, 1) {
-				return "", failures, err
+		}
+		if rs.Status == http.StatusInternalServerError {
+			if failures++; failures >= max(route.Attempts, 1) {
+				return "", failures, errors.Newf("scoring call failed %d times", failures)
 			}
-		default:
-			err = errors.Newf("scoring call: status %d", rs.Status)
 		}
 		select {
 		case <-ctx.Done():
@@ -95,3 +90,15 @@
 	}
 	return "", 0, err
 }
+
+// checkScore returns an error unless a response of a scorer has a score that can be stored.
+func checkScore(rs calls.Response) error {
+	switch {
+	case rs.Status/100 != 2 || rs.Stamp == "":
+		return errors.Newf("scoring call: status %d", rs.Status)
+	case len(rs.Stamp) > batch.MaxScoreBytes:
+		return errors.Newf("scoring call: a score of %d bytes", len(rs.Stamp))
+	default:
+		return nil
+	}
+}
--- a/runs/step.go
+++ b/runs/step.go
@@ -257,12 +257,7 @@
 // item needs next.
 func (ow *Owner) continueItem(now time.Time, ru *run, out Outcome, events []Event) {
 	en, it, jo := ru.engine, ru.item, ru.job
-	switch {
-	case out.Ending == TooLong:
-		ow.discardText(now, jo, it, en, out.Detail)
-		return
-	case it.text.hasYielded():
-		ow.yieldRun(now, jo, it, en)
+	if ow.discarded(now, ru, out) {
 		return
 	}
 	before := len(it.events)
@@ -286,6 +281,20 @@
 	}
 }
 
+// discarded discards the text of an item if its run made it too long or it had to yield, and
+// reports whether it did.
+func (ow *Owner) discarded(now time.Time, ru *run, out Outcome) bool {
+	switch {
+	case out.Ending == TooLong && !ru.replaced:
+		ow.discardText(now, ru.job, ru.item, ru.engine, out.Detail)
+	case ru.item.text.hasYielded():
+		ow.yieldRun(now, ru.job, ru.item, ru.engine)
+	default:
+		return false
+	}
+	return true
+}
+
 // textEnded handles a run that ended in order and sent the given number of events.
 func (ow *Owner) textEnded(jo *job, it *item, en *engine, events int) {
 	if events == 0 && !it.endConfirmed(en) {
