runs: metrics are counted by their names

TestTableOfMetrics, which compares the metrics of the code with those of OPERATIONS.md, failed since: the name was passed on as a value. The same is counted as before.

--- a/runs/step.go
+++ b/runs/step.go
@@ -315,7 +315,8 @@
 // kept: a sound engine that continued it would have nothing to add. The item is not errored
 // before its time limit, since its text is not known to be too long on other engines.
 func (ow *Owner) discardText(now time.Time, jo *job, it *item, en *engine, why string) {
-	ow.dropText(jo, it, "texts-discarded", why+", engine "+en.target.ID)
+	ow.Meters.Count("texts-discarded", jo.route.Name, 1)
+	ow.dropText(jo, it, why+", engine "+en.target.ID)
 	it.avoid = en.target.ID
 	it.notBefore = now.Add(min(tooLongBackoff<<min(it.tooLong, 8), maxTooLongBackoff))
 	it.tooLong++
@@ -323,9 +324,8 @@
 }
 
 // dropText drops the text of an item and what was saved of it.
-func (ow *Owner) dropText(jo *job, it *item, metric, why string) {
+func (ow *Owner) dropText(jo *job, it *item, why string) {
 	logs.Warn(ow.Logger, "text discarded", "job", jo.body.ID, "id", it.item.ID, "events", len(it.events), "why", why)
-	ow.Meters.Count(metric, jo.route.Name, 1)
 	jo.obsoleteRows = append(jo.obsoleteRows, it.rows...)
 	it.rows, it.savedEvents, it.resumed = nil, 0, false
 	it.reset()
--- a/runs/text.go
+++ b/runs/text.go
@@ -123,6 +123,7 @@
 
 // yieldText discards a text that had to yield. Its item begins anew later.
 func (ow *Owner) yieldText(now time.Time, jo *job, it *item) {
-	ow.dropText(jo, it, "texts-yielded", "the memory for texts is full")
+	ow.Meters.Count("texts-yielded", jo.route.Name, 1)
+	ow.dropText(jo, it, "the memory for texts is full")
 	it.notBefore = now.Add(yieldBackoff)
 }
