--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -354,6 +354,13 @@
 	li.err = err
 }
 
+// setLatency sets the time that each call takes.
+func (li *link) setLatency(latency time.Duration) {
+	li.mutex.Lock()
+	defer li.mutex.Unlock()
+	li.latency = latency
+}
+
 func (li *link) setCut(cut bool) {
 	li.mutex.Lock()
 	defer li.mutex.Unlock()
@@ -361,9 +368,12 @@
 }
 
 func (li *link) check(ctx context.Context, name string) error {
-	if li.latency > 0 {
+	li.mutex.Lock()
+	latency := li.latency
+	li.mutex.Unlock()
+	if latency > 0 {
 		select {
-		case <-time.After(li.latency):
+		case <-time.After(latency):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/intake/end_test.go
+++ b/intake/end_test.go
@@ -43,7 +43,7 @@
 				defer cl.stop()
 				busyJob(cl, 0)
 				ender := (cl.owner("j1") + 1) % 3
-				cl.links[ender].latency = latency * time.Millisecond
+				cl.links[ender].setLatency(latency * time.Millisecond)
 				started := time.Now()
 				require.Nil(t, cl.entries[ender].EndJob(context.Background(), "j1"))
 				require.Less(t, time.Since(started), 2*time.Second, "the time that a client waits")
@@ -92,7 +92,7 @@
 				require.Nil(t, cl.submit(0, job("j1", 600)))
 				time.Sleep(time.Second)
 				owner := cl.owner("j1")
-				cl.links[owner].latency = latency * time.Millisecond
+				cl.links[owner].setLatency(latency * time.Millisecond)
 				cl.entries[owner].Stop()
 				vh, err := batch.Ledger{Store: cl.rows}.Find(context.Background(), "j1")
 				require.NoError(t, err)
