runs: no event is kept after one that found no memory

Found on reading again: an event that found no memory was dropped and its run canceled, but a smaller event that arrived before the cancelation took effect still fit the reserved bytes and was kept. An owner that dropped the job at that moment saved the text with an event missing, and a later owner or job would have continued and listed it. Not seen in a run of the system.

Change: once a text has to yield, all later events of its run are dropped, so that what is saved is a prefix.

Measured: TestYieldedTextHasNoGap kept "one" and "three" of three events before; now it keeps "one".

--- a/limit/held.go
+++ b/limit/held.go
@@ -103,8 +103,8 @@
 }
 
 // Request adds bytes to those of the holder, or asks another one to yield (rule 4). It is
-// Refused if the holder itself was asked to yield, holds most, or would exceed Max alone. After Pending the caller asks
-// again shortly: the bytes of those that yield count until they end.
+// Refused if the holder itself was asked to yield, holds most, or would exceed Max alone. After
+// Pending the caller asks again shortly: the bytes of those that yield count until they end.
 func (ho *Holder) Request(bytes int64) Grant {
 	hb := ho.owner
 	hb.mutex.Lock()
--- a/runs/text.go
+++ b/runs/text.go
@@ -53,9 +53,13 @@
 	}
 }
 
-// grow counts an event before it is kept. It returns false if the text must yield. It may wait
-// for memory and must not be called by the loop.
+// grow counts an event before it is kept. It returns false if the text must yield, and for all
+// events after that, so that none is kept after one that is missing. It may wait for memory and
+// must not be called by the loop.
 func (ht *heldText) grow(ev Event) bool {
+	if ht.yielded.Load() {
+		return false
+	}
 	size := int64(len(ev.Data)) + eventCost
 	if size > ht.spare {
 		more := max(size-ht.spare, textChunk)
