strict: an answer cut by a reset during the upload is an error

What callers saw: a worker answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as the complete answer, framed with a length of its own; a stream ended as complete, and so did an item of a step. The store's clients took such an answer to a large write as its acknowledgement.

Cause: the socket reports the reset once. If a write of the request is in progress, the write gets the error, and the read that follows sees an ordinary end of the connection, which ends a response without a length. An answer that ended with a FIN and was followed by a reset was not told apart either.

Change: package strict wraps the transport of every HTTP client of the product. Its connections remember a failed write. Where the end of the connection ends the response, it is reported only after the request was written, and as the error of the write if that failed. Responses with a length or chunks do not wait: their frames show whether they are whole. The end of an answer that only closes the sending side, while its target reads the upload on, is in order (RFC 9112, 6.3 and 8), so it stays complete. The clients of the object and table services read the whole response, because the vendor's library ignores errors of bodies that it does not need.

Ruled out: refusing every answer that comes before the request was written. The protocol permits early answers, and those with a length are whole.

--- a/boot/node.go
+++ b/boot/node.go
@@ -21,6 +21,7 @@
 	"bilberryshelf/relay"
 	"bilberryshelf/server"
 	"bilberryshelf/setup"
+	"bilberryshelf/strict"
 	"bilberryshelf/table"
 	"bilberryshelf/wire"
 	"bilberryshelf/wire/wireconnect"
@@ -73,7 +74,7 @@
 	limits := responseLimits(se)
 	departures, rates := &fleet.Departures{}, &quota.Limits{}
 	store, targets := platform.NewStore(se.Store.Address).WithLimits(limits), platform.NewTargets().WithLimits(limits).WithDepartures(departures).WithRates(rates)
-	inner := &http.Client{Transport: innerTransport()}
+	inner := &http.Client{Transport: strict.New(innerTransport())}
 	en := intake.New(intake.Settings{
 		Node: se.Name, Region: se.Place.Region, Domain: se.Place.FailureDomain, Inner: se.Listen.Inner, Grace: se.Timing.Grace.Std(),
 		LowCapacity: se.Instance.Cores < minJobCores, MaxBodyBytes: int64(maxBodyShare * float64(se.Instance.Memory)),
--- a/client/trainer.go
+++ b/client/trainer.go
@@ -15,6 +15,7 @@
 	"bilberryshelf/core"
 	"bilberryshelf/limit"
 	"bilberryshelf/sample"
+	"bilberryshelf/strict"
 )
 
 // Client calls one entry, or all of them through a load balancer.
@@ -22,7 +23,7 @@
 	// URL is the base URL of the load balancer or of an entry.
 	URL   string
 	Token string
-	// HTTP sends the requests; nil means http.DefaultClient.
+	// HTTP sends the requests; nil means a client with strict.Default.
 	HTTP *http.Client
 }
 
@@ -49,7 +50,7 @@
 	}
 	hc := cl.HTTP
 	if hc == nil {
-		hc = http.DefaultClient
+		hc = &http.Client{Transport: strict.Default}
 	}
 	res, err := hc.Do(req)
 	if err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,6 +30,7 @@
 	"bilberryshelf/setup"
 	"bilberryshelf/sheet"
 	"bilberryshelf/store"
+	"bilberryshelf/strict"
 	"bilberryshelf/wire"
 	"bilberryshelf/wire/wireconnect"
 )
@@ -168,7 +169,7 @@
 // with idle connections kept open: an answer passes through fewer goroutines
 // than on a shared HTTP/2 connection.
 func innerClient(tr meter.Traffic) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: strict.New(&http.Transport{
 		DisableCompression: true, IdleConnTimeout: time.Minute, MaxIdleConnsPerHost: maxIdlePerHost, MaxResponseHeaderBytes: wire.MaxHeadBytes,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
@@ -177,7 +178,7 @@
 			}
 			return tr.Conn(conn), nil
 		},
-	}}
+	})}
 }
 
 // maxIdlePerHost limits the idle connections kept to one instance.
--- /dev/null
+++ b/guard/earlyanswer_test.go
@@ -0,0 +1,85 @@
+package guard
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/core"
+	"bilberryshelf/meter"
+	"bilberryshelf/setup"
+	"bilberryshelf/wire"
+)
+
+// rawGuard returns a guard of a target that passes each connection to serve, after the head of a
+// request, and closes it afterwards.
+func rawGuard(t *testing.T, serve func(conn *net.TCPConn, rd *bufio.Reader)) *Guard {
+	t.Helper()
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = li.Close() })
+	go func() {
+		for {
+			conn, err := li.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				rd := bufio.NewReader(conn)
+				for {
+					line, err := rd.ReadString('\n')
+					if err != nil {
+						return
+					}
+					if line == "\r\n" {
+						break
+					}
+				}
+				serve(conn.(*net.TCPConn), rd)
+			}()
+		}
+	}()
+	se := setup.DefaultGuard()
+	se.Engine.URL = "http://" + li.Addr().String()
+	return New(se, core.SystemClock{}, log.NewNopLogger(), &meter.Set{}, nil, nil)
+}
+
+// Guards against an answer without a length that the guard passes on as complete although its
+// connection was reset while the request was still being sent.
+func TestEarlyAnswerCutByReset(t *testing.T) {
+	for name, end := range map[string]func(conn *net.TCPConn){
+		"reset": func(conn *net.TCPConn) { _ = conn.SetLinger(0) },
+		// The kernel resets a connection that is closed before everything received was read.
+		"close": func(*net.TCPConn) {},
+	} {
+		for _, ended := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, after the end of the answer %v", name, ended), func(t *testing.T) {
+				gu := rawGuard(t, func(conn *net.TCPConn, _ *bufio.Reader) {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+					if ended {
+						_ = conn.CloseWrite()
+					}
+					time.Sleep(20 * time.Millisecond)
+					end(conn)
+				})
+				complete := 0
+				for range 25 {
+					_, er := gu.forward(t.Context(), &wire.DispatchRequest{Path: "/lots", Method: "POST", Body: make([]byte, 12<<20)}, &run{}, &frames{})
+					if er == nil {
+						complete++
+					} else {
+						require.Equal(t, core.MayHaveRun, er.Verdict)
+					}
+				}
+				require.Zero(t, complete, "broken answers of 25 that count as complete")
+			})
+		}
+	}
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -23,6 +23,7 @@
 	"bilberryshelf/meter"
 	"bilberryshelf/setup"
 	"bilberryshelf/store"
+	"bilberryshelf/strict"
 	"bilberryshelf/wire"
 	"bilberryshelf/wire/wireconnect"
 )
@@ -114,8 +115,8 @@
 	gu := &Guard{
 		settings: se, clock: cl, meters: me, tables: tables, objects: objects,
 		logger:    log.With(lg, "target", se.Target),
-		control:   &http.Client{Transport: control},
-		forwarder: &http.Client{Transport: forward},
+		control:   &http.Client{Transport: strict.New(control)},
+		forwarder: &http.Client{Transport: strict.New(forward)},
 		loop:      core.NewLoop(),
 		stop:      make(chan struct{}),
 		done:      make(chan struct{}),
--- /dev/null
+++ b/store/earlyanswer_test.go
@@ -0,0 +1,57 @@
+package store_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/store"
+)
+
+// Guards against a write that counts as done although the store broke the connection after an
+// early answer without a length.
+func TestEarlyAnswerCutByReset(t *testing.T) {
+	for name, end := range map[string]func(conn *net.TCPConn){
+		"reset": func(conn *net.TCPConn) { time.Sleep(20 * time.Millisecond); _ = conn.SetLinger(0) },
+		"end of the answer, then reset": func(conn *net.TCPConn) {
+			_ = conn.CloseWrite()
+			time.Sleep(20 * time.Millisecond)
+			_ = conn.SetLinger(0)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			li, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer li.Close()
+			go func() {
+				for {
+					conn, err := li.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer conn.Close()
+						rd := bufio.NewReader(conn)
+						for line := ""; line != "\r\n" && err == nil; {
+							line, err = rd.ReadString('\n')
+						}
+						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nEtag: \"1\"\r\n\r\n")
+						end(conn.(*net.TCPConn))
+					}()
+				}
+			}()
+			ob := store.NewObjects(store.Access{URL: "http://" + li.Addr().String(), KeyID: "k", Secret: "s", Timeout: 10 * time.Second}, "books")
+			done := 0
+			for range 25 {
+				if ob.Write(t.Context(), "book", make([]byte, 12<<20)) == nil {
+					done++
+				}
+			}
+			require.Zero(t, done, "writes of 25 that count as done")
+		})
+	}
+}
--- a/store/table.go
+++ b/store/table.go
@@ -1,7 +1,9 @@
 package store
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -10,6 +12,9 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/cockroachdb/errors"
+
+	"bilberryshelf/limit"
+	"bilberryshelf/strict"
 )
 
 // Access is the address of a platform service, the credentials for it and the timeout of a
@@ -43,7 +48,29 @@
 	return credentials.NewStaticCredentialsProvider(ac.KeyID, ac.Secret, "")
 }
 
-func (ac Access) client() *http.Client { return &http.Client{Timeout: ac.timeout()} }
+func (ac Access) client() *http.Client {
+	return &http.Client{Transport: wholeResponses{}, Timeout: ac.timeout()}
+}
+
+// wholeResponses is a transport that returns a response once its body has arrived. The vendor's
+// client library ignores errors of bodies that it does not need, and a call whose response broke
+// off would count as successful.
+type wholeResponses struct{}
+
+// RoundTrip sends a request and reads the complete response.
+func (wholeResponses) RoundTrip(req *http.Request) (*http.Response, error) {
+	res, err := strict.Default.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	defer res.Body.Close() // the body has been read; a failed close loses nothing
+	body, err := limit.ReadAll(res.Body, maxObjectBytes)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the response")
+	}
+	res.Body = io.NopCloser(bytes.NewReader(body))
+	return res, nil
+}
 
 // Table is a client of one table of the platform's transactional table service.
 type Table struct {
