strict: a response with an invalid status code is an error

What callers saw: for a worker's answer with status 000, 099 or +20 the caller's connection was closed without an answer (the server panicked with "invalid WriteHeader code"); 101, 600 and 999 were passed on as answers, 101 to callers that had asked for no upgrade. As the faulty worker answered at once and counted as sound, it drew the requests of others.

Cause: the HTTP library accepts any three characters that make a number, and hands a 101 to its caller. Nothing checked the code before it was used.

Change: the transport of all clients rejects codes under 200 and over 599 (RFC 9110, section 15: codes from 100 to 599, interim ones are never final), and closes the connection, also one that is idle already because the response had no body. A client should treat such a code as 5xx; since an answer is passed on with its own status or not at all, it is an error of ours instead: 502, or another worker where the request may be repeated. It does not promise that the request has not run, whatever its headers say.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -14,6 +14,7 @@
 
 	"bilberryshelf/core"
 	"bilberryshelf/retry"
+	"bilberryshelf/strict"
 	"bilberryshelf/wire"
 )
 
@@ -186,6 +187,9 @@
 		if !fr.matchesID(frame.Head.Id) {
 			return true, mismatchReport()
 		}
+		if err := strict.CheckStatus(int(frame.Head.Status)); err != nil {
+			return true, retry.Report{Event: retry.Cut, Error: core.InDoubt(core.CodeAnswerCut, "the answer has an invalid head: %v", err)}
+		}
 		fr.headSeen = true
 		return fr.result(fr.rc.begin(frame.Head, fr.target))
 	case *wire.DispatchFrame_Chunk:
--- a/strict/strict.go
+++ b/strict/strict.go
@@ -1,10 +1,14 @@
 // Package strict makes the HTTP client of the standard library reject responses that are not
-// complete.
+// complete or not valid. The errors promise nothing about the request: it may have run.
 //
 // A response without a length ends with its connection. If the connection is reset while the
 // request is still being written, the write receives the error of the reset, and the read that
 // follows sees an ordinary end. Such a response counts as complete only if the whole request was
 // written without an error.
+//
+// The library accepts any status code of three characters that make a number, and passes on a
+// switch of protocols that was not asked for. RFC 9110, section 15, defines the codes from 100 to
+// 599; a response with another one is an error, as is any interim one in place of the final one.
 package strict
 
 import (
@@ -13,10 +17,26 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+
+	"github.com/cockroachdb/errors"
 )
 
-// Transport is an HTTP transport that rejects incomplete responses. Make it with New. It is safe
-// for concurrent use.
+// ErrInvalid marks the error of a response that is not valid HTTP.
+var ErrInvalid = errors.New("invalid HTTP response")
+
+// CheckStatus returns an error unless a final response may have this status code.
+func CheckStatus(code int) error {
+	if code < http.StatusOK || code > maxStatus {
+		return errors.Wrapf(ErrInvalid, "status code %03d", code)
+	}
+	return nil
+}
+
+// maxStatus is the largest status code that RFC 9110 defines.
+const maxStatus = 599
+
+// Transport is an HTTP transport that rejects responses which are incomplete or invalid. Make it
+// with New. It is safe for concurrent use.
 type Transport struct{ base *http.Transport }
 
 // New returns a transport that sends requests with base. It replaces base.DialContext, so base
@@ -48,6 +68,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := CheckStatus(res.StatusCode); err != nil {
+		ex.reject(res)
+		return nil, err
+	}
 	res.Request = req
 	if endsWithConnection(res) {
 		ex.conn().awaitRequest()
@@ -80,6 +104,15 @@
 
 func (ex *exchange) wroteRequest(httptrace.WroteRequestInfo) { ex.conn().endRequest() }
 
+// reject closes the connection of a response. Closing the body is not enough: after a response
+// without one the connection is already idle.
+func (ex *exchange) reject(res *http.Response) {
+	if cn := ex.conn(); cn != nil {
+		_ = cn.Close() // nothing more is read; a failed close loses nothing
+	}
+	_ = res.Body.Close()
+}
+
 // conn returns the connection in use; nil if it is not one of this package.
 func (ex *exchange) conn() *conn {
 	ex.mutex.Lock()
