strict: a response with an invalid field name is an error

What callers saw: a worker's answer with a blank in or after the name of a header field was passed on as an answer. With "Content-Length : 3" the body ran to the end of the connection, with "Transfer-Encoding : chunked" it held the frames of the chunks, and with "Bilberryshelf-Not-Run : 1" a refusal became an answer.

It has framed the body by the time the head can be checked.

Change: the transport rejects a response in which the name of a field in the head, in the trailers, or in the head of an interim response is no token, and closes its connection. The request may have run, also if the head says that it has not: a field of such a head is no promise. Entries check the names in the heads that guards send.

A line that continues the one before may be accepted with the break replaced by a blank (5.2), which the library does. A length beside chunks is ignored and not forwarded (6.3); the chunks frame the body completely. Unlike lengths and a signed one are errors (6.3), as before.

Control bytes (01, 00, 7f, tab, CR), a byte 80, a parenthesis, an empty name and a line without a colon were errors before and are kept in the tests.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -187,7 +187,7 @@
 		if !fr.matchesID(frame.Head.Id) {
 			return true, mismatchReport()
 		}
-		if err := strict.CheckStatus(int(frame.Head.Status)); err != nil {
+		if err := checkHead(frame.Head); err != nil {
 			return true, retry.Report{Event: retry.Cut, Error: core.InDoubt(core.CodeAnswerCut, "the answer has an invalid head: %v", err)}
 		}
 		fr.headSeen = true
@@ -209,6 +209,17 @@
 	return true, mismatchReport()
 }
 
+// checkHead returns an error unless an HTTP response may have this head. A guard of an earlier
+// version may send another one, or have stored it under a key.
+func checkHead(head *wire.Head) error {
+	for _, he := range head.Headers {
+		if err := strict.CheckName(he.Name); err != nil {
+			return err
+		}
+	}
+	return strict.CheckStatus(int(head.Status))
+}
+
 // receiveWhole processes an answer that arrived in a single frame.
 func (fr *frameReceiver) receiveWhole(wh *wire.Whole) (bool, retry.Report) {
 	for _, part := range []*wire.DispatchFrame{
--- a/entry/invalidhead_internal_test.go
+++ b/entry/invalidhead_internal_test.go
@@ -15,11 +15,15 @@
 
 // invalidHeads are heads that a guard of an earlier version passes on, or stored under a key.
 var invalidHeads = map[string]*wire.Head{
-	"status 0":   {Status: 0},
-	"status 99":  {Status: 99},
-	"status 101": {Status: http.StatusSwitchingProtocols},
-	"status 600": {Status: 600},
-	"status -1":  {Status: -1},
+	"status 0":               {Status: 0},
+	"status 99":              {Status: 99},
+	"status 101":             {Status: http.StatusSwitchingProtocols},
+	"status 600":             {Status: 600},
+	"status -1":              {Status: -1},
+	"blank in a name":        {Status: http.StatusOK, Headers: []*wire.Header{{Name: "X Bad", Value: "1"}}},
+	"blank after a name":     {Status: http.StatusOK, Headers: []*wire.Header{{Name: "Content-Length ", Value: "3"}}},
+	"control byte in a name": {Status: http.StatusOK, Headers: []*wire.Header{{Name: "X\x01Bad", Value: "1"}}},
+	"empty name":             {Status: http.StatusOK, Headers: []*wire.Header{{Value: "1"}}},
 }
 
 // Guards against a panic while an answer is sent to the caller, which ends its connection without
--- a/guard/invalidanswer_test.go
+++ b/guard/invalidanswer_test.go
@@ -17,6 +17,9 @@
 // invalidHeads are the first lines of responses that are not valid HTTP.
 var invalidHeads = map[string]string{
 	"status 000": "HTTP/1.1 000\r\n", "status with a sign": "HTTP/1.1 +20\r\n", "status 099": "HTTP/1.1 099\r\n", "status 600": "HTTP/1.1 600 Odd\r\n",
+	"blank in a name": "HTTP/1.1 200 OK\r\nX Bad: 1\r\n", "blank after a name": "HTTP/1.1 200 OK\r\nX-Bad : 1\r\n",
+	"blank after a length": "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n", "blank after a coding": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+	"control byte in a name": "HTTP/1.1 200 OK\r\nX\x01Bad: 1\r\n", "blank in the name of an interim field": "HTTP/1.1 103 Early Hints\r\nX Bad: 1\r\n\r\nHTTP/1.1 200 OK\r\n",
 	"status 101": "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n",
 }
 
