--- a/guard/earlyanswer_test.go
+++ b/guard/earlyanswer_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bilberryshelf/core"
+	"bilberryshelf/fake"
 	"bilberryshelf/meter"
 	"bilberryshelf/setup"
 	"bilberryshelf/wire"
@@ -21,31 +22,9 @@
 // request, and closes it afterwards.
 func rawGuard(t *testing.T, serve func(conn *net.TCPConn, rd *bufio.Reader)) *Guard {
 	t.Helper()
-	li, err := net.Listen("tcp", "127.0.0.1:0")
+	li, err := fake.ListenRaw(fake.AfterHead(serve))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = li.Close() })
-	go func() {
-		for {
-			conn, err := li.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				rd := bufio.NewReader(conn)
-				for {
-					line, err := rd.ReadString('\n')
-					if err != nil {
-						return
-					}
-					if line == "\r\n" {
-						break
-					}
-				}
-				serve(conn.(*net.TCPConn), rd)
-			}()
-		}
-	}()
 	se := setup.DefaultGuard()
 	se.Engine.URL = "http://" + li.Addr().String()
 	return New(se, core.SystemClock{}, log.NewNopLogger(), &meter.Set{}, nil, nil)
--- a/store/earlyanswer_test.go
+++ b/store/earlyanswer_test.go
@@ -24,27 +24,11 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			li, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer li.Close()
-			go func() {
-				for {
-					conn, err := li.Accept()
-					if err != nil {
-						return
-					}
-					go func() {
-						defer conn.Close()
-						rd := bufio.NewReader(conn)
-						for line := ""; line != "\r\n" && err == nil; {
-							line, err = rd.ReadString('\n')
-						}
-						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nEtag: \"1\"\r\n\r\n")
-						end(conn.(*net.TCPConn))
-					}()
-				}
-			}()
-			ob := store.NewObjects(store.Access{URL: "http://" + li.Addr().String(), KeyID: "k", Secret: "s", Timeout: 10 * time.Second}, "books")
+			url := rawPlatform(t, func(conn *net.TCPConn, _ *bufio.Reader) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nEtag: \"1\"\r\n\r\n")
+				end(conn)
+			})
+			ob := store.NewObjects(store.Access{URL: url, KeyID: "k", Secret: "s", Timeout: 10 * time.Second}, "books")
 			done := 0
 			for range 25 {
 				if ob.Write(t.Context(), "book", make([]byte, 12<<20)) == nil {
--- a/strict/strict_test.go
+++ b/strict/strict_test.go
@@ -18,40 +18,19 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bilberryshelf/fake"
 	"bilberryshelf/strict"
 )
 
-// serve accepts connections and passes each to handle, with a reader of it.
-func serve(t *testing.T, handle func(conn *net.TCPConn, rd *bufio.Reader)) (url string) {
+// serve passes each connection to handle, after the head of a request.
+func serve(t *testing.T, handle func(conn *net.TCPConn)) (url string) {
 	t.Helper()
-	li, err := net.Listen("tcp", "127.0.0.1:0")
+	li, err := fake.ListenRaw(fake.AfterHead(func(conn *net.TCPConn, _ *bufio.Reader) { handle(conn) }))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = li.Close() })
-	go func() {
-		for {
-			conn, err := li.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				handle(conn.(*net.TCPConn), bufio.NewReader(conn))
-			}()
-		}
-	}()
 	return "http://" + li.Addr().String() + "/"
 }
 
-// skipHead reads the head of a request.
-func skipHead(rd *bufio.Reader) error {
-	for {
-		line, err := rd.ReadString('\n')
-		if err != nil || line == "\r\n" {
-			return err
-		}
-	}
-}
-
 func post(ctx context.Context, t *testing.T, url string, body []byte) (*http.Response, error) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
@@ -63,13 +42,11 @@
 // answer and then neither reads nor closes. The deadline ends it.
 func TestUnreadRequestEndsAtDeadline(t *testing.T) {
 	ended := make(chan struct{})
-	url := serve(t, func(conn *net.TCPConn, rd *bufio.Reader) {
+	url := serve(t, func(conn *net.TCPConn) {
 		defer close(ended)
-		if skipHead(rd) == nil {
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nall")
-			_ = conn.CloseWrite()
-			time.Sleep(300 * time.Millisecond)
-		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nall")
+		_ = conn.CloseWrite()
+		time.Sleep(300 * time.Millisecond)
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
@@ -90,12 +67,10 @@
 		t.Run(name, func(t *testing.T) {
 			release := make(chan struct{})
 			defer close(release)
-			url := serve(t, func(conn *net.TCPConn, rd *bufio.Reader) {
-				if skipHead(rd) == nil {
-					_, _ = io.WriteString(conn, answer)
-					_ = conn.CloseWrite()
-					<-release
-				}
+			url := serve(t, func(conn *net.TCPConn) {
+				_, _ = io.WriteString(conn, answer)
+				_ = conn.CloseWrite()
+				<-release
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
