strict: early answers over TLS are checked too

The table and object services may be reached over TLS. A response of HTTP/2 frames its body and shares its connection, so neither check applies to it.

An invalid response is reported with the code answer-cut instead of target-lost, whose text said that the target had not answered.

--- a/guard/dispatch.go
+++ b/guard/dispatch.go
@@ -20,6 +20,7 @@
 	"bilberryshelf/engine"
 	"bilberryshelf/fence"
 	"bilberryshelf/limit"
+	"bilberryshelf/strict"
 	"bilberryshelf/wire"
 )
 
@@ -204,6 +205,9 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return core.Refuse(core.CodeTargetDown, "cannot connect to the target")
 	}
+	if errors.Is(err, strict.ErrInvalid) {
+		return core.InDoubt(core.CodeAnswerCut, "the target's answer is invalid: %v", err)
+	}
 	return core.InDoubt(core.CodeTargetLost, "the request was sent to the target, which did not answer: %v", err)
 }
 
--- a/guard/invalidanswer_test.go
+++ b/guard/invalidanswer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -43,6 +44,9 @@
 			an, er := gu.forward(t.Context(), &wire.DispatchRequest{Path: "/lots", Method: "POST", Key: "k"}, &run{key: "k"}, out)
 			require.NotNil(t, er)
 			require.Equal(t, core.MayHaveRun, er.Verdict)
+			if !strings.HasPrefix(name, "control byte") { // the HTTP library reports that one as it does no answer
+				require.Equal(t, core.CodeAnswerCut, er.Code)
+			}
 			require.Nil(t, an, "nothing is stored under the key")
 			require.Empty(t, out.sent)
 		})
--- a/strict/strict.go
+++ b/strict/strict.go
@@ -19,6 +19,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -108,12 +109,12 @@
 	}
 	if err := checkHead(res); err != nil {
 		_ = res.Body.Close() // nothing more is read; a failed close loses nothing
-		ex.close()
+		ex.close(res)
 		return nil, err
 	}
 	res.Request = req
 	switch {
-	case res.ContentLength >= 0:
+	case res.ContentLength >= 0 || res.ProtoMajor != 1: // HTTP/2 frames every body
 	case len(res.TransferEncoding) > 0:
 		res.Body = &chunkedBody{ReadCloser: res.Body, res: res, ex: ex}
 	default: // the end of the connection ends the body
@@ -139,7 +140,7 @@
 		return count, err
 	}
 	if err := checkNames(cb.res.Trailer); err != nil {
-		cb.ex.close()
+		cb.ex.close(cb.res)
 		return count, err
 	}
 	return count, io.EOF
@@ -157,9 +158,12 @@
 func (ex *exchange) gotConn(info httptrace.GotConnInfo) {
 	ex.mutex.Lock()
 	defer ex.mutex.Unlock()
-	if ex.used, _ = info.Conn.(*conn); ex.used != nil {
-		ex.used.beginRequest()
+	co := info.Conn
+	if tc, ok := co.(*tls.Conn); ok {
+		co = tc.NetConn()
 	}
+	ex.used, _ = co.(*conn)
+	ex.used.beginRequest()
 }
 
 func (ex *exchange) wroteRequest(httptrace.WroteRequestInfo) { ex.conn().endRequest() }
@@ -189,10 +193,10 @@
 // defaultMaxInterim is the library's limit of the head of a response if none is set, in bytes.
 const defaultMaxInterim = 10 << 20
 
-// close closes the connection. Closing the body is not enough: at its end, and after a response
-// without one, the connection is already idle.
-func (ex *exchange) close() {
-	if cn := ex.conn(); cn != nil {
+// close closes the connection of a response, unless others share it. Closing the body is not enough:
+// at its end, and after a response without one, the connection is already idle.
+func (ex *exchange) close(res *http.Response) {
+	if cn := ex.conn(); cn != nil && res.ProtoMajor == 1 {
 		_ = cn.Close() // nothing more is read; a failed close loses nothing
 	}
 }
--- a/strict/strict_test.go
+++ b/strict/strict_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"go/ast"
 	"go/parser"
 	"go/token"
@@ -11,6 +12,7 @@
 	"io/fs"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -38,6 +40,37 @@
 	return (&http.Client{Transport: strict.New(&http.Transport{})}).Do(req)
 }
 
+// Guards against an answer over TLS that counts as complete although its connection was reset while
+// the request was still being sent.
+func TestEarlyAnswerOverTLS(t *testing.T) {
+	se := httptest.NewTLSServer(http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(out).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+		time.Sleep(20 * time.Millisecond)
+		tcp := conn.(*tls.Conn).NetConn().(*net.TCPConn)
+		_ = tcp.SetLinger(0)
+		_ = tcp.Close()
+	}))
+	defer se.Close()
+	cl := &http.Client{Transport: strict.New(se.Client().Transport.(*http.Transport).Clone())}
+	complete := 0
+	for range 20 {
+		res, err := cl.Post(se.URL, "", bytes.NewReader(make([]byte, 12<<20)))
+		if err != nil {
+			continue
+		}
+		if _, err := io.ReadAll(res.Body); err == nil {
+			complete++
+		}
+		require.NoError(t, res.Body.Close())
+	}
+	require.Zero(t, complete, "broken answers of 20 that count as complete")
+}
+
 // Guards against a reader that waits forever for a request to be written: the target ends its
 // answer and then neither reads nor closes. The deadline ends it.
 func TestUnreadRequestEndsAtDeadline(t *testing.T) {
