--- a/review/_standin4/worker.go
+++ b/review/_standin4/worker.go
@@ -56,7 +56,7 @@
 	defer wo.mutex.Unlock()
 	addr := wo.addr
 	if addr == "" {
-		addr = "127.0.0.1:0"
+		addr = wo.la.freeAddr() // nobody else takes it while the worker is down
 	}
 	var li net.Listener
 	var err error
