--- a/review/_standin4/condemned.go
+++ b/review/_standin4/condemned.go
@@ -74,6 +74,21 @@
 	}
 }
 
+// busyAt is the number of requests that the worker runs when it crashes, of its twelve slots.
+const busyAt = 9
+
+// crashBusy crashes a worker that runs busyAt requests or more, and reports whether there was one.
+func crashBusy(la *lab, workers []*worker) bool {
+	for _, wo := range workers {
+		if running := wo.load(); running >= busyAt {
+			la.log("worker %s runs %d requests and crashes", wo.id, running)
+			wo.crash(4500 * time.Millisecond)
+			return true
+		}
+	}
+	return false
+}
+
 // condemned plays a worker that crashes once while it runs requests of several clients that ask
 // for the same thing. Nothing in these requests crashes a worker.
 func condemned(la *lab) {
@@ -96,7 +111,7 @@
 	cl := &client{la: la, nodes: nodes, http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 50}}}
 	ta := &tally{sent: map[string]int{}, served: map[string]int{}}
 	var group sync.WaitGroup
-	began, crashAt, steadyAt, end := time.Now(), 10*time.Second, 24*time.Second, 44*time.Second
+	began, crashAt, lastCrashAt, steadyAt, end := time.Now(), 10*time.Second, 15*time.Second, 24*time.Second, 44*time.Second
 	send := func(route, body string, at int) {
 		group.Go(func() {
 			elapsed := time.Since(began)
@@ -111,20 +126,21 @@
 			ta.add(route+" "+span, status == 200)
 		})
 	}
-	crashes := 0
+	crashed := false
 	for at := 0; time.Since(began) < end; at++ {
 		send("stock", `{"depot":"all"}`, at)
-		if at%4 == 0 {
+		if at%10 == 0 {
 			send("quote", fmt.Sprintf(`{"order":%d}`, at), at)
 		}
-		if la.trouble && crashes < 1 && time.Since(began) >= crashAt {
-			la.log("worker %s runs %d requests and crashes", workers[crashes].id, workers[crashes].load())
-			workers[crashes].crash(4500 * time.Millisecond)
-			crashes++
+		if elapsed := time.Since(began); la.trouble && !crashed && elapsed >= crashAt && elapsed < lastCrashAt {
+			crashed = crashBusy(la, workers)
 		}
 		time.Sleep(6 * time.Millisecond)
 	}
 	group.Wait()
+	if la.trouble && !crashed {
+		la.fail("no worker ran %d requests at once", busyAt)
+	}
 	for _, route := range []string{"quote", "stock"} {
 		for _, span := range []string{"before", "around", "after"} {
 			key := route + " " + span
