order: an engine without a guard does not stop the assignment of models

What was seen: of five engines of two models, one has no guard.

Cause: AssignModel changes nothing while an engine of the service has no model, since its guard may be about to start. Nothing ended that wait.

Change: an engine that has had no model for joinTimeout counts for no model and delays nothing.

--- a/order/guard.go
+++ b/order/guard.go
@@ -84,6 +84,9 @@
 	assigned map[string]string
 	slots    map[string]slotState
 	priority StalePriority
+	// unassignedSince maps the address of an engine without a model to when it was first
+	// seen.
+	unassignedSince map[string]time.Time
 	// staleSince is when the engine became stale; zero if it is not.
 	staleSince time.Time
 
@@ -121,12 +124,16 @@
 	guardThrottle  = 60 * time.Millisecond
 	// startPause is the pause between attempts to get a fencing token.
 	startPause = 300 * time.Millisecond
+	// joinTimeout is how long the guard of a new engine is waited for before engines change
+	// their models. A guard writes its row within a second of its start.
+	joinTimeout = 5 * time.Second
 )
 
 // Run polls the engine and sends it orders until the context ends.
 func (gu *Guard) Run(ctx context.Context) {
 	gu.announced, gu.targets = map[string]uint64{}, map[string]fleet.Target{}
 	gu.assigned, gu.slots = map[string]string{}, map[string]slotState{}
+	gu.unassignedSince = map[string]time.Time{}
 	var group sync.WaitGroup
 	for _, fe := range gu.feeds() {
 		group.Go(func() { fe.Run(ctx) })
@@ -182,6 +189,9 @@
 	gu.mutex.Lock()
 	defer gu.mutex.Unlock()
 	for _, ro := range rows {
+		if ro.Deleted {
+			delete(gu.unassignedSince, gu.targets[ro.ID.Key].Addr)
+		}
 		delete(gu.targets, ro.ID.Key)
 		if ro.Deleted {
 			continue
@@ -318,7 +328,9 @@
 			}
 		}
 		stale := model != "" && Stale(ta.Models[model], gu.announced[model])
-		sn.Engines = append(sn.Engines, Engine{ID: ta.Addr, Model: model, Stale: gu.priority.Grants(now, ta.ID, stale)})
+		sn.Engines = append(sn.Engines, Engine{
+			ID: ta.Addr, Model: model, Unguarded: gu.unguarded(now, ta.Addr, model), Stale: gu.priority.Grants(now, ta.ID, stale),
+		})
 	}
 	if re.Running+re.Waiting > 0 {
 		gu.lastBusy = now
@@ -335,6 +347,20 @@
 	return sn
 }
 
+// unguarded reports whether an engine has had no model for joinTimeout.
+func (gu *Guard) unguarded(now time.Time, addr, model string) bool {
+	if model != "" {
+		delete(gu.unassignedSince, addr)
+		return false
+	}
+	since, found := gu.unassignedSince[addr]
+	if !found {
+		since = now
+		gu.unassignedSince[addr] = now
+	}
+	return now.Sub(since) >= joinTimeout
+}
+
 func (gu *Guard) sendOrder(ctx context.Context, or Order, sn Snapshot) {
 	or.Holder, or.Fence = gu.Name, gu.fence
 	gu.orderedAt = gu.Clock.Now()
--- a/order/order.go
+++ b/order/order.go
@@ -96,6 +96,8 @@
 	ID string
 	// Model is empty until the engine is assigned one.
 	Model string
+	// Unguarded is set if the engine has had no model for joinTimeout.
+	Unguarded bool
 	// Stale is set while the engine has priority because its version no longer
 	// serves the current step.
 	Stale bool
@@ -165,8 +167,11 @@
 	counts := map[string]int{}
 	last := ""
 	for _, en := range engines {
-		if en.Model == "" {
-			return current // an engine has no model yet
+		switch {
+		case en.Unguarded:
+			continue
+		case en.Model == "":
+			return current // its guard may not have started yet
 		}
 		counts[en.Model]++
 		if en.Model == current {
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -81,6 +81,12 @@
 	require.Equal(t, "m", order.AssignModel(models, engines("m", "m", "m", "n"), "b", "m"))
 	require.Equal(t, "m", order.AssignModel(models, engines("m", "m", "m", ""), "c", "m"), "an engine has no model yet")
 	require.Equal(t, "m", order.AssignModel([]string{"m"}, engines("gone"), "a", "gone"), "a model that was removed")
+	unguarded := engines("m", "m", "")
+	unguarded[2].Unguarded = true
+	require.Equal(t, "n", order.AssignModel(models, unguarded, "b", "m"), "an engine without a guard does not stop the others")
+	unguarded = engines("m", "m", "n", "")
+	unguarded[3].Unguarded = true
+	require.Equal(t, "m", order.AssignModel(models, unguarded, "b", "m"), "an engine without a guard counts for no model")
 }
 
 // fakeEngine is an engine whose loads take 900 ms.
