runs, order: a model without an engine of its own is served by engines of others

This holds after the loss of the only engine, while its guard is away, and where there are more models than engines.

Cause: guards load the versions of the one model that their engine is assigned, and assignments are balanced by counting engines. That a model has open jobs and nobody to run them was noticed by no one.

Change: the owner of such jobs reports their demand in the guards' table; a guard of an idle engine, or after 2 s that of a busy one, loads the version beside its own model; the engine's slots are shared while both have work. docs/design/shortage.md says who decides and what bounds it. Nothing is written or read while no model is short.

Ruled out: owners that do not place the items (no engine held a permitted version), guards that do not see the loss (each counts five engines). Moving the assignment itself by open work: with fewer engines than models each move makes another model short.

--- a/intake/follow.go
+++ b/intake/follow.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// applyGuards applies rows written by guards: which model an engine serves, and
-// which engines hold a slot for loading weights.
+// applyGuards applies rows of the guards' table: which model an engine serves, which
+// engines hold a slot for loading weights, and what other owners need.
 func (en *Entry) applyGuards(rows []table.Row) {
 	for _, ro := range rows {
 		re, err := order.DecodeRow(ro)
@@ -66,6 +66,10 @@
 			logs.Warn(en.logger, "cannot decode the row of a guard", "err", err)
 		case order.IsSlot(ro):
 			en.owner.SetLoading(ro.ID.Key, re.Holder)
+		case ro.ID == order.DemandID(en.settings.Node):
+			en.demandStored.Store(!ro.Deleted) // perhaps by an earlier process of this node
+		case order.IsDemand(ro):
+			en.owner.SetDemand(ro, re)
 		default:
 			en.owner.SetServedModel(ro.ID.Key, re.Model)
 		}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -85,6 +85,8 @@
 	operator operatorView
 	ready    atomic.Bool
 	stopping atomic.Bool
+	// demandStored is set if the store may hold a row with the demand of this node.
+	demandStored atomic.Bool
 	// drain is set once the entry is stopping.
 	drain atomic.Pointer[drainTimes]
 	// serving ends when the last requests must be answered.
@@ -231,6 +233,7 @@
 	group.Go(func() { en.owner.Run(ctx) })
 	group.Go(func() { en.renew(ctx) })
 	group.Go(func() { en.sweep(ctx) })
+	group.Go(func() { en.reportDemand(ctx) })
 	group.Go(func() { en.shareLosses(ctx) })
 	group.Go(func() { en.askForPermits(ctx) })
 	group.Go(func() { en.recordPlaces(ctx) })
--- a/order/guard.go
+++ b/order/guard.go
@@ -27,15 +27,20 @@
 }
 
 // Table is the table of the store with a row for each guard, keyed by the address of
-// its engine, and a row for each slot.
+// its engine, a row for each slot, and a row for each owner that reports demand.
 const Table = "guard"
 
-// Row is the stored value of a guard or of a slot.
+// Row is the stored value of a guard, of a slot, or of an owner.
 type Row struct {
-	// Model is the model assigned to the engine; empty in the row of a slot.
+	// Model is the model assigned to the engine. In the row of a slot, it is the model whose
+	// weights the holder loads; empty for a free slot.
 	Model string `cbor:"1,keyasint"`
 	// Holder is the address of the engine whose guard holds a slot; empty for a free one.
 	Holder string `cbor:"2,keyasint,omitempty"`
+	// Demands is what an owner needs.
+	Demands []Demand `cbor:"3,keyasint,omitempty"`
+	// Renewal counts the writes of an owner.
+	Renewal uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Encode returns the stored value of a row.
@@ -84,9 +89,12 @@
 	assigned map[string]string
 	slots    map[string]slotState
 	priority StalePriority
+	demands  Demands
 	// unassignedSince maps the address of an engine without a model to when it was first
 	// seen.
 	unassignedSince map[string]time.Time
+	// shortageRetryAt is when the next order for a short model may be sent.
+	shortageRetryAt time.Time
 	// staleSince is when the engine became stale; zero if it is not.
 	staleSince time.Time
 
@@ -127,6 +135,9 @@
 	// joinTimeout is how long the guard of a new engine is waited for before engines change
 	// their models. A guard writes its row within a second of its start.
 	joinTimeout = 5 * time.Second
+	// shortagePause is the least time between two orders for models that are short of
+	// engines.
+	shortagePause = 1500 * time.Millisecond
 )
 
 // Run polls the engine and sends it orders until the context ends.
@@ -211,11 +222,14 @@
 			logs.Error(gu.Logger, "cannot decode the row of a guard", "key", ro.ID.Key, "err", err)
 			continue
 		}
-		if IsSlot(ro) {
+		switch {
+		case IsSlot(ro):
 			gu.applySlot(ro, re)
-			continue
+		case IsDemand(ro):
+			gu.demands.Put(gu.Clock.Now(), ro, re)
+		default:
+			gu.assigned[ro.ID.Key] = re.Model
 		}
-		gu.assigned[ro.ID.Key] = re.Model
 	}
 }
 
@@ -244,7 +258,7 @@
 	gu.reclaim()
 	gu.release(ctx, re)
 	gu.orderNext(ctx, sn)
-	if sn.Announced[sn.Model] > re.Versions[sn.Model] {
+	if sn.Announced[sn.Model] > re.Versions[sn.Model] || len(sn.Shortages) > 0 {
 		return loadPollInterval
 	}
 	return pollInterval
@@ -253,13 +267,20 @@
 // orderNext sends the next order if one is due and the guard gets a slot for it.
 func (gu *Guard) orderNext(ctx context.Context, sn Snapshot) {
 	or, due := Next(sn)
-	if !due || !gu.acquire(ctx, place.MaxConcurrentLoads(len(sn.Engines)), or.Version, Stale(sn.Report.Versions[sn.Model], or.Version)) {
+	stale := due && Stale(sn.Report.Versions[sn.Model], or.Version)
+	if !due && !gu.Clock.Now().Before(gu.shortageRetryAt) {
+		or, due = NextForShortage(sn)
+	}
+	if !due || !gu.acquire(ctx, place.MaxConcurrentLoads(len(sn.Engines)), or, stale) {
 		return
 	}
 	if or.Mode != Wait && gu.Clock.Now().Sub(gu.held.since) < drainWait {
 		return // the owners of its runs see that the slot is taken and move the runs
 	}
 	gu.sendOrder(ctx, or, sn)
+	if or.Model != sn.Model {
+		gu.shortageRetryAt = gu.Clock.Now().Add(shortagePause)
+	}
 }
 
 // startRow writes the guard's row for the first time after a start. It keeps the model that
@@ -318,7 +339,11 @@
 	gu.mutex.Lock()
 	defer gu.mutex.Unlock()
 	now := gu.Clock.Now()
-	sn := Snapshot{Self: gu.Addr, Report: re, Model: gu.model, Announced: maps.Clone(gu.announced)}
+	sn := Snapshot{Self: gu.Addr, Report: re, Model: gu.model, Announced: maps.Clone(gu.announced), LoadSlotModel: gu.held.model}
+	sn.Shortages = gu.demands.Shortages(now, gu.Service)
+	for at := range sn.Shortages {
+		sn.Shortages[at].Loading = gu.loadingElsewhere(now, sn.Shortages[at].Model)
+	}
 	for _, ta := range gu.targets {
 		model := gu.assigned[ta.Addr]
 		if ta.Addr == gu.Addr {
@@ -329,7 +354,7 @@
 		}
 		stale := model != "" && Stale(ta.Models[model], gu.announced[model])
 		sn.Engines = append(sn.Engines, Engine{
-			ID: ta.Addr, Model: model, Unguarded: gu.unguarded(now, ta.Addr, model), Stale: gu.priority.Grants(now, ta.ID, stale),
+			ID: ta.Addr, Model: model, Unguarded: gu.unguarded(now, ta.Addr, model), Versions: ta.Models, Stale: gu.priority.Grants(now, ta.ID, stale),
 		})
 	}
 	if re.Running+re.Waiting > 0 {
@@ -361,6 +386,18 @@
 	return now.Sub(since) >= joinTimeout
 }
 
+// loadingElsewhere returns the number of other engines that hold a slot to load weights of a
+// model.
+func (gu *Guard) loadingElsewhere(now time.Time, model string) int {
+	count := 0
+	for _, sl := range gu.slots {
+		if sl.model == model && sl.holder != "" && sl.holder != gu.Addr && now.Sub(sl.seenAt) < maxSlotHold {
+			count++
+		}
+	}
+	return count
+}
+
 func (gu *Guard) sendOrder(ctx context.Context, or Order, sn Snapshot) {
 	or.Holder, or.Fence = gu.Name, gu.fence
 	gu.orderedAt = gu.Clock.Now()
--- a/order/order.go
+++ b/order/order.go
@@ -19,6 +19,10 @@
 //     step empties engines for that. After StalePriorityTimeout a stale engine no
 //     longer delays the others: it completes long runs, or it, or its row, is cut off.
 //  5. An engine has at most one order in progress, and one that leaves gets none.
+//  6. A model is short of engines if those assigned to it cannot run its open jobs. The
+//     owners of the jobs report this. Engines that are assigned other models then load its
+//     announced version too: idle ones, as many as its items would fill, or after
+//     busyShortage a busy one. docs/design/shortage.md describes the whole.
 package order
 
 import (
@@ -98,6 +102,8 @@
 	Model string
 	// Unguarded is set if the engine has had no model for joinTimeout.
 	Unguarded bool
+	// Versions maps a model to the version of its weights.
+	Versions map[string]uint64
 	// Stale is set while the engine has priority because its version no longer
 	// serves the current step.
 	Stale bool
@@ -117,6 +123,11 @@
 	IdleFor time.Duration
 	// StaleFor is how long the engine has been stale; zero if it is not.
 	StaleFor time.Duration
+	// Shortages are the models that are short of engines, the longest shortage first.
+	Shortages []Shortage
+	// LoadSlotModel is the model for which the guard holds a load slot; empty if it holds
+	// none.
+	LoadSlotModel string
 }
 
 // StaleBusyTimeout is how long a stale engine may complete its runs. The longest take about
--- a/order/slot.go
+++ b/order/slot.go
@@ -24,7 +24,9 @@
 
 // slotState is the latest known row of a slot and when it was first seen.
 type slotState struct {
-	holder  string
+	holder string
+	// model is the model whose weights the holder loads.
+	model   string
 	version uint64
 	seenAt  time.Time
 }
@@ -34,7 +36,8 @@
 	key     string
 	version uint64
 	since   time.Time
-	// loadVersion is the weight version that the slot was taken for.
+	// model and loadVersion are the weights that the slot was taken for.
+	model       string
 	loadVersion uint64
 }
 
@@ -42,7 +45,7 @@
 	if have := gu.slots[ro.ID.Key]; ro.Version <= have.version {
 		return
 	}
-	gu.slots[ro.ID.Key] = slotState{holder: re.Holder, version: ro.Version, seenAt: gu.Clock.Now()}
+	gu.slots[ro.ID.Key] = slotState{holder: re.Holder, model: re.Model, version: ro.Version, seenAt: gu.Clock.Now()}
 }
 
 // reclaim takes over a slot that an earlier process of this guard held when it died, or that
@@ -63,10 +66,10 @@
 	}
 }
 
-// acquire takes a free slot, or one that its holder has kept for too long, and
+// acquire takes a free slot for an order, or one that its holder has kept for too long, and
 // reports whether the guard may load. The guard of a stale engine may load without
 // a slot after maxSlotFailure.
-func (gu *Guard) acquire(ctx context.Context, count int, loadVersion uint64, stale bool) bool {
+func (gu *Guard) acquire(ctx context.Context, count int, or Order, stale bool) bool {
 	if gu.held.key != "" {
 		return true
 	}
@@ -81,9 +84,9 @@
 		if sl.holder != "" && gu.Clock.Now().Sub(sl.seenAt) < maxSlotHold {
 			continue
 		}
-		version, err := gu.writeSlot(ctx, key, gu.Addr, sl.version)
+		version, err := gu.writeSlot(ctx, key, Row{Holder: gu.Addr, Model: or.Model}, sl.version)
 		if err == nil {
-			gu.held, gu.slotFailingSince = heldSlot{key: key, version: version, since: gu.Clock.Now(), loadVersion: loadVersion}, time.Time{}
+			gu.held, gu.slotFailingSince = heldSlot{key: key, version: version, since: gu.Clock.Now(), model: or.Model, loadVersion: or.Version}, time.Time{}
 			return true
 		}
 		failed = failed || !errors.Is(err, table.ErrConflict)
@@ -106,11 +109,11 @@
 		return
 	}
 	now := gu.Clock.Now()
-	ended := !re.Busy && (re.Versions[gu.model] >= gu.held.loadVersion || now.Sub(gu.held.since) > maxSlotHold)
+	ended := !re.Busy && (re.Versions[gu.held.model] >= gu.held.loadVersion || now.Sub(gu.held.since) > maxSlotHold)
 	if !ended {
 		return
 	}
-	_, err := gu.writeSlot(ctx, gu.held.key, "", gu.held.version)
+	_, err := gu.writeSlot(ctx, gu.held.key, Row{}, gu.held.version)
 	if err == nil || errors.Is(err, table.ErrConflict) {
 		gu.held = heldSlot{}
 		return
@@ -118,8 +121,8 @@
 	logs.Warn(gu.Logger, "slot not released", "slot", gu.held.key, "err", err)
 }
 
-func (gu *Guard) writeSlot(ctx context.Context, key, holder string, expect uint64) (uint64, error) {
-	raw, err := Row{Holder: holder}.Encode()
+func (gu *Guard) writeSlot(ctx context.Context, key string, re Row, expect uint64) (uint64, error) {
+	raw, err := re.Encode()
 	if err != nil {
 		return 0, err
 	}
@@ -134,6 +137,6 @@
 	}
 	gu.mutex.Lock()
 	defer gu.mutex.Unlock()
-	gu.slots[key] = slotState{holder: holder, version: version, seenAt: gu.Clock.Now()}
+	gu.slots[key] = slotState{holder: re.Holder, model: re.Model, version: version, seenAt: gu.Clock.Now()}
 	return version, nil
 }
--- a/place/place.go
+++ b/place/place.go
@@ -52,7 +52,8 @@
 //     earlier by MinMoveGain and the cost of the move. Its timeouts are longer by the slowdown that is usual there.
 //  8. Engines that serve another model are used only if no engine of the item's
 //     own model can serve it: the owners of that model's jobs plan with their
-//     slots and empty them for loads.
+//     slots and empty them for loads. While a model is short of engines, the caller
+//     treats all engines as its own.
 //  9. A slow engine without a recent measurement is probed with the shortest
 //     waiting item, so that no long item is used to measure it.
 //  10. A text continues only on an engine of the software version that began it: what two
--- a/runs/models.go
+++ b/runs/models.go
@@ -58,6 +58,7 @@
 // first updates which engines are being emptied.
 func (ow *Owner) engineViews(now time.Time, jo *job) []place.Engine {
 	var views []place.Engine
+	sh := ow.sharing(now, jo.service)
 	for _, en := range ow.engines {
 		served := ow.servedModels[en.target.Addr]
 		en.endEmptying(now, en.version(served) >= ow.announced[served])
@@ -66,8 +67,9 @@
 			vi.Memory = ow.memory[jo.service]
 			vi.Limited, vi.Permits = ow.Rates.Permits(now, en.target, jo.route.Priority)
 			vi.LoadingFor, vi.Loading = ow.loading(now, en.target.Addr)
-			vi.Model, vi.OtherModel = served, served != "" && served != jo.body.Model
+			vi.Model, vi.OtherModel = served, served != "" && served != jo.body.Model && !sh.short(jo.body.Model)
 			vi.Stale = order.Stale(en.version(served), ow.announced[served])
+			ow.share(en, &vi, jo.body.Model, sh)
 			views = append(views, vi)
 		}
 	}
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -17,6 +17,7 @@
 	"bilberryshelf/fleet"
 	"bilberryshelf/limit"
 	"bilberryshelf/meter"
+	"bilberryshelf/order"
 	"bilberryshelf/quota"
 )
 
@@ -115,6 +116,10 @@
 	// a load slot to the engine that holds it.
 	servedModels map[string]string
 	loads        map[string]load
+	// models holds the state of each model with open items, demands what other owners report.
+	models      map[modelKey]*modelState
+	demands     order.Demands
+	shortagesAt time.Time
 	// memory maps a service to the number of tokens that each of its engines can keep.
 	memory map[string]int
 	// longestText maps a route to the number of events of its longest complete text.
@@ -216,6 +221,7 @@
 	for _, jo := range ow.jobs {
 		ow.emptyEngines(now, jo)
 	}
+	ow.updateShortages(now)
 	ow.Meters.Gauge("text-bytes", "", ow.Texts.InUse())
 	ow.place()
 }
