intake: a job is run on after its route was changed or removed

An adopted job whose path another route had taken ran at the service of that route.

Cause: an entry that adopts a job, or gets it handed over, looked its route up again by host and path. What the job was accepted with was in the memory of its owner only.

Change: the body of a job holds the values of its route (batch.Terms), which hold for whoever runs it. Jobs of the release before have none: they run by the route of batch jobs at their path, or by the one of their name at their host.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -76,6 +76,8 @@
 	Items          []Item `cbor:"8,keyasint"`
 	// Workspace is the name of the workspace that submitted the job; empty if there was none.
 	Workspace string `cbor:"9,keyasint,omitempty"`
+	// Terms are those of the job's route. Jobs of earlier releases have none.
+	Terms *Terms `cbor:"10,keyasint,omitempty"`
 }
 
 // Validate returns an error if an id or a path is missing, too long, not unique, or not a
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -162,6 +162,15 @@
 	return best, found
 }
 
+// RolloutRoute returns the host's route of batch jobs with this name.
+func (co *Config) RolloutRoute(host, name string) (Route, bool) {
+	at := slices.IndexFunc(co.routes[host], func(ro Route) bool { return ro.Kind == Rollout && ro.Name == name })
+	if at < 0 {
+		return Route{}, false
+	}
+	return co.routes[host][at], true
+}
+
 // Service returns a service by name.
 func (co *Config) Service(name string) (Service, bool) {
 	se, found := co.services[name]
--- a/intake/adopt.go
+++ b/intake/adopt.go
@@ -125,13 +125,13 @@
 		logs.Warn(en.logger, "adopted job could not be read", "id", job, "err", err)
 		return // retried after ownAdoptDelay
 	}
-	route, _, failed := en.FindRoute(body.Host, body.Path)
+	route, failed := en.jobRoute(body, vh.Head)
 	if failed != nil {
 		logs.Warn(en.logger, "adopted job has no route", "id", job, "err", failed)
 		return
 	}
 	logs.Info(en.logger, "job adopted", "id", job, "owner", previous, "epoch", vh.Head.Epoch, "listed", len(listed))
-	en.owner.Start(body, vh, en.workspaceRoute(route, body.Workspace), listed)
+	en.owner.Start(body, vh, route, listed)
 }
 
 // loadJob reads a job and the ids of its listed items.
--- a/intake/handover.go
+++ b/intake/handover.go
@@ -63,12 +63,12 @@
 	if en.stopping.Load() {
 		return nil, errStopping
 	}
-	route, _, failed := en.FindRoute(jo.Host, jo.Path)
+	route, failed := en.jobRoute(jo, he)
 	if failed != nil {
 		return nil, failed
 	}
 	vh := batch.VersionedHead{Head: he, Version: req.GetVersion()}
 	en.index.Put(jo.ID, vh)
-	en.owner.Start(jo, vh, en.workspaceRoute(route, jo.Workspace), nil)
+	en.owner.Start(jo, vh, route, nil)
 	return &wire.StartResponse{}, nil
 }
--- /dev/null
+++ b/intake/terms_test.go
@@ -0,0 +1,150 @@
+package intake_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bilberryshelf/batch"
+	"bilberryshelf/conf"
+	"bilberryshelf/wire"
+)
+
+var scoreRoute = conf.Route{
+	Name: "score", Host: "h", Prefix: "/score/", Kind: conf.Idempotent, Shares: []conf.Share{{Service: "desk", Weight: 1}},
+	TargetLatency: 300 * time.Millisecond, Attempts: 4,
+}
+
+// setRoutes puts a configuration with these routes in force.
+func (cl *cluster) setRoutes(version uint64, all ...conf.Route) {
+	cl.config.Store(conf.New(version, all, nil, conf.Limits{}))
+	cl.put(operatorTable, "config")
+}
+
+// changed returns a route with a change.
+func changed(ro conf.Route, change func(ro *conf.Route)) conf.Route {
+	change(&ro)
+	return ro
+}
+
+// endOwner ends the owner of a job in one of the ways of FINDINGS, or lets it run on.
+type endOwner func(cl *cluster, node int)
+
+func kill(cl *cluster, node int) { cl.kill(node) }
+func stopPlanned(cl *cluster, node int) {
+	go cl.entries[node].Stop()
+}
+func stays(*cluster, int) {}
+
+// Guards against a job whose route was changed or removed while it was open, and that nobody runs
+// on after its owner has ended: neither by the route in force at its path nor by one of its name.
+func TestJobOutlivesItsRoute(t *testing.T) {
+	plain := conf.Route{Name: "plain", Host: "h", Prefix: "/train/", Kind: conf.Idempotent, Shares: []conf.Share{{Service: "desk", Weight: 1}}}
+	prefix := changed(route, func(ro *conf.Route) { ro.Prefix = "/train-2/" })
+	other := changed(route, func(ro *conf.Route) {
+		ro.Host, ro.Prefix, ro.Shares, ro.ItemTTL = "g", "/other/", []conf.Share{{Service: "none", Weight: 1}}, time.Second
+	})
+	for _, tc := range []struct {
+		name   string
+		end    endOwner
+		routes []conf.Route
+	}{
+		{"another prefix", stays, []conf.Route{scoreRoute, prefix}},
+		{"another prefix", kill, []conf.Route{scoreRoute, prefix}},
+		{"another prefix", stopPlanned, []conf.Route{scoreRoute, prefix}},
+		{"another host", kill, []conf.Route{scoreRoute, changed(route, func(ro *conf.Route) { ro.Host = "g" })}},
+		{"removed", stopPlanned, []conf.Route{scoreRoute}},
+		{"removed", stays, []conf.Route{scoreRoute}},
+		{"another name", kill, []conf.Route{scoreRoute, changed(route, func(ro *conf.Route) { ro.Name = "learn" })}},
+		{"another prefix, and a plain route has the path", stopPlanned, []conf.Route{scoreRoute, prefix, plain}},
+		{"removed, and a plain route has the path", kill, []conf.Route{scoreRoute, plain}},
+		{"removed, and its name was given to another route", kill, []conf.Route{scoreRoute, other}},
+		{"nothing", kill, []conf.Route{scoreRoute, route}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 3)
+				defer cl.stop()
+				jo := job("j1", 120)
+				require.Nil(t, cl.submit(0, jo))
+				time.Sleep(500 * time.Millisecond)
+				cl.setRoutes(2, tc.routes...)
+				time.Sleep(500 * time.Millisecond)
+				owner := cl.owner("j1")
+				tc.end(cl, owner)
+				node := (owner + 1) % 3
+				time.Sleep(29 * time.Second)
+				cl.requireComplete(node, jo)
+			})
+		})
+	}
+}
+
+// Guards against a job that goes on with other limits than it was accepted with.
+func TestJobKeepsItsTerms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3)
+		defer cl.stop()
+		jo := job("j1", 30)
+		require.Nil(t, cl.submit(0, jo))
+		time.Sleep(500 * time.Millisecond)
+		cl.setRoutes(2, scoreRoute, changed(route, func(ro *conf.Route) { ro.ItemTTL = time.Second }))
+		cl.kill(cl.owner("j1"))
+		time.Sleep(19 * time.Second)
+		cl.requireComplete(cl.live(), jo)
+	})
+}
+
+// Guards against an entry that refuses a job since its configuration is a version ahead of or
+// behind that of the entry that accepted the job.
+func TestHandedOverJobNeedsNoRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 2)
+		defer cl.stop()
+		jo := job("j1", 1)
+		require.Nil(t, cl.submit(0, jo))
+		time.Sleep(10 * time.Second)
+		ledger := batch.Ledger{Store: cl.rows}
+		body, err := ledger.Body(context.Background(), "j1")
+		require.NoError(t, err)
+		body.ID = "j2"
+		cl.setRoutes(2)
+		time.Sleep(time.Second)
+		vh, err := ledger.Accept(context.Background(), body, batch.Head{Epoch: 1, Owner: "elsewhere", Total: len(body.Items), Route: route.Name})
+		require.NoError(t, err)
+		_, err = cl.entries[1].Start(context.Background(), &wire.StartRequest{
+			Job: "j2", Body: batch.EncodeJob(body), Head: batch.EncodeHead(vh.Head), Version: vh.Version,
+		})
+		require.NoError(t, err)
+		require.True(t, cl.entries[1].Owns("j2"))
+	})
+}
+
+// Guards against jobs that the release before accepted and that are not run on after an upgrade,
+// also if their route got another prefix.
+func TestJobOfEarlierReleaseIsAdopted(t *testing.T) {
+	for name, routes := range map[string][]conf.Route{
+		"unchanged":      {scoreRoute, route},
+		"another prefix": {scoreRoute, changed(route, func(ro *conf.Route) { ro.Prefix = "/train-2/" })},
+		"a plain route has the path": {scoreRoute, changed(route, func(ro *conf.Route) { ro.Prefix = "/train-2/" }), changed(scoreRoute, func(ro *conf.Route) {
+			ro.Name, ro.Prefix = "plain", "/train/"
+		})},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 2)
+				defer cl.stop()
+				cl.setRoutes(2, routes...)
+				time.Sleep(time.Second)
+				jo := job("j1", 3)
+				_, err := batch.Ledger{Store: cl.rows}.Accept(context.Background(), jo, batch.Head{Epoch: 1, Owner: "dead", Total: len(jo.Items), Route: route.Name})
+				require.NoError(t, err)
+				time.Sleep(20 * time.Second)
+				cl.requireComplete(0, jo)
+			})
+		})
+	}
+}
