intake: texts are scored after the route of the scoring calls was changed or removed

What callers saw: items of an open job whose scorer's route gets another prefix or is removed are never scored, so never listed, also while the owner lives. If a route of another kind takes the path, the call goes to its service.

Change: the job holds the values of the routes of its scoring calls. A call uses the route that corresponds to that one now (conf.Config.Successor), since it is made under the configuration in force, or the stored one if there is none.

TestSuccessor has the rule.

Ruled out: the stored values in all cases: a scorer's route that was moved to another service would be called where it no longer is.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -76,8 +76,10 @@
 	Items          []Item `cbor:"8,keyasint"`
 	// Workspace is the name of the workspace that submitted the job; empty if there was none.
 	Workspace string `cbor:"9,keyasint,omitempty"`
-	// Terms are those of the job's route. Jobs of earlier releases have none.
-	Terms *Terms `cbor:"10,keyasint,omitempty"`
+	// Terms are those of the job's route, Scorers those of the routes of its scoring calls.
+	// Jobs of earlier releases have none.
+	Terms   *Terms  `cbor:"10,keyasint,omitempty"`
+	Scorers []Terms `cbor:"11,keyasint,omitempty"`
 }
 
 // Validate returns an error if an id or a path is missing, too long, not unique, or not a
--- a/batch/terms.go
+++ b/batch/terms.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"strings"
 	"time"
 
 	"bilberryshelf/conf"
@@ -57,3 +58,14 @@
 
 // Valid reports whether a job can be run by the terms.
 func (te *Terms) Valid() bool { return te != nil && len(te.Shares) > 0 }
+
+// ScorerTerms returns the terms of the route of a scoring call when the job was accepted.
+func (jo *Job) ScorerTerms(sc Scorer) (Terms, bool) {
+	best, found := Terms{}, false
+	for _, te := range jo.Scorers {
+		if te.Host == sc.Host && strings.HasPrefix(sc.Path, te.Prefix) && te.Valid() && (!found || len(te.Prefix) > len(best.Prefix)) {
+			best, found = te, true
+		}
+	}
+	return best, found
+}
--- a/batch/terms_test.go
+++ b/batch/terms_test.go
@@ -19,11 +19,21 @@
 		SingleVersion: true, Public: true,
 	}
 	terms := batch.NewTerms(route)
-	jo := &batch.Job{ID: "j", Host: "h", Path: "/train/x", Items: []batch.Item{{ID: "i", Path: "/i"}}, Terms: &terms}
+	jo := &batch.Job{ID: "j", Host: "h", Path: "/train/x", Items: []batch.Item{{ID: "i", Path: "/i"}}, Terms: &terms, Scorers: []batch.Terms{
+		{Host: "h", Prefix: "/score/", Shares: []batch.Share{{Service: "a"}}},
+		{Host: "h", Prefix: "/score/long/", Shares: []batch.Share{{Service: "b"}}},
+	}}
 	got, err := batch.DecodeJob(batch.EncodeJob(jo))
 	require.NoError(t, err)
 	require.Equal(t, route, got.Terms.Route())
 	require.Equal(t, jo, got)
+	for path, service := range map[string]string{"/score/x": "a", "/score/long/x": "b", "/other/x": ""} {
+		te, found := got.ScorerTerms(batch.Scorer{Host: "h", Path: path})
+		require.Equal(t, service != "", found, path)
+		if found {
+			require.Equal(t, service, te.Shares[0].Service)
+		}
+	}
 }
 
 // Guards against a job of the release before that cannot be read during a rolling
@@ -43,7 +53,7 @@
 	require.Nil(t, jo.Terms)
 	require.False(t, jo.Terms.Valid())
 	terms := batch.NewTerms(conf.Route{Name: "train"})
-	jo.Terms = &terms
+	jo.Terms, jo.Scorers = &terms, []batch.Terms{terms}
 	var back job
 	require.NoError(t, cbor.Unmarshal(batch.EncodeJob(jo), &back))
 	require.Equal(t, earlier, back)
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -162,6 +162,43 @@
 	return best, found
 }
 
+// Successor returns the route that a route of another configuration corresponds to: one of the
+// same kind that has the same two of name, host and prefix. A name alone does not identify a
+// route, since it may have been given to another one, nor does a path.
+func (co *Config) Successor(ro Route) (Route, bool) {
+	var (
+		best Route
+		rank int
+	)
+	for _, other := range co.AllRoutes() {
+		if other.Kind != ro.Kind {
+			continue
+		}
+		if have := ro.resemblance(other); have > rank {
+			best, rank = other, have
+		}
+	}
+	return best, rank > 0
+}
+
+// resemblance ranks how much of its identity a route shares with another one. It is zero if
+// they differ in two of name, host and prefix.
+func (ro Route) resemblance(other Route) int {
+	name, host, prefix := ro.Name == other.Name, ro.Host == other.Host, ro.Prefix == other.Prefix
+	switch {
+	case name && host && prefix:
+		return 4
+	case name && host:
+		return 3
+	case host && prefix:
+		return 2
+	case name && prefix:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // RolloutRoute returns the host's route of batch jobs with this name.
 func (co *Config) RolloutRoute(host, name string) (Route, bool) {
 	at := slices.IndexFunc(co.routes[host], func(ro Route) bool { return ro.Kind == Rollout && ro.Name == name })
--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -51,3 +51,34 @@
 	require.Equal(t, map[string]int{"a": 90, "b": 10}, counts)
 	require.Equal(t, "a", conf.Route{Shares: []conf.Share{{"a", 0}}}.Pick(nil))
 }
+
+// Guards against a job that goes on by the rules of a route that only has the name or the path
+// of its own.
+func TestSuccessor(t *testing.T) {
+	old := conf.Route{Name: "train", Host: "h", Prefix: "/a/", Kind: conf.Rollout}
+	other := func(name, host, prefix string) conf.Route {
+		return conf.Route{Name: name, Host: host, Prefix: prefix, Kind: conf.Rollout, Attempts: 7}
+	}
+	plain := other("train", "h", "/a/")
+	plain.Kind = conf.Idempotent
+	for _, tc := range []struct {
+		name   string
+		routes []conf.Route
+		want   string
+	}{
+		{"unchanged", []conf.Route{other("train", "h", "/a/")}, "train h /a/"},
+		{"another prefix", []conf.Route{other("train", "h", "/b/")}, "train h /b/"},
+		{"another host", []conf.Route{other("train", "g", "/a/")}, "train g /a/"},
+		{"another name", []conf.Route{other("learn", "h", "/a/")}, "learn h /a/"},
+		{"another prefix, and a new route has the path", []conf.Route{other("learn", "h", "/a/"), other("train", "h", "/b/")}, "train h /b/"},
+		{"the name was given to another route", []conf.Route{other("train", "g", "/b/")}, ""},
+		{"the path was given to a plain route", []conf.Route{plain}, ""},
+		{"removed", nil, ""},
+	} {
+		got, found := conf.New(2, tc.routes, nil, conf.Limits{}).Successor(old)
+		require.Equal(t, tc.want != "", found, tc.name)
+		if found {
+			require.Equal(t, tc.want, got.Name+" "+got.Host+" "+got.Prefix, tc.name)
+		}
+	}
+}
--- a/intake/calls.go
+++ b/intake/calls.go
@@ -54,11 +54,11 @@
 	scoreRetries = 5
 )
 
-// Score calls the scorer of a text and returns its score. If as many calls as the
+// Score calls the scorer of a text of a job and returns its score. If as many calls as the
 // route permits were answered with status 500, it returns their number as failures.
 // After any other error failures is zero, and the caller may retry.
-func (en *Entry) Score(ctx context.Context, sc batch.Scorer) (score string, failures int, err error) {
-	route, _, failed := en.FindRoute(sc.Host, sc.Path)
+func (en *Entry) Score(ctx context.Context, jo *batch.Job, sc batch.Scorer) (score string, failures int, err error) {
+	route, failed := en.scorerRoute(jo, sc)
 	if failed != nil {
 		return "", 0, failed
 	}
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -66,7 +66,7 @@
 	if failed := en.checkStore(); failed != nil {
 		return failed
 	}
-	jo = withTerms(jo, route)
+	jo = en.withTerms(jo, route)
 	owner := en.routeOwner(route.Name)
 	he := batch.Head{
 		Epoch: 1, Owner: owner.Name, Total: len(jo.Items), Submitted: en.clock.Now().UnixMilli(), Route: route.Name,
--- a/intake/terms.go
+++ b/intake/terms.go
@@ -6,11 +6,27 @@
 	"bilberryshelf/core"
 )
 
-// withTerms returns a job with the terms of the route on which it is accepted.
-func withTerms(jo *batch.Job, route conf.Route) *batch.Job {
+// withTerms returns a job with the terms on which it is accepted: those of its route, and of
+// the routes of its scoring calls.
+func (en *Entry) withTerms(jo *batch.Job, route conf.Route) *batch.Job {
 	cp := *jo
 	terms := batch.NewTerms(route)
-	cp.Terms = &terms
+	cp.Terms, cp.Scorers = &terms, nil
+	co := en.config.Load()
+	if co == nil {
+		return &cp
+	}
+	type place struct{ host, prefix string }
+	known := map[place]bool{}
+	for _, it := range jo.Items {
+		if it.Scorer == nil {
+			continue
+		}
+		if ro, found := co.Find(it.Scorer.Host, it.Scorer.Path); found && !known[place{ro.Host, ro.Prefix}] {
+			known[place{ro.Host, ro.Prefix}] = true
+			cp.Scorers = append(cp.Scorers, batch.NewTerms(ro))
+		}
+	}
 	return &cp
 }
 
@@ -33,3 +49,19 @@
 	}
 	return en.workspaceRoute(route, jo.Workspace), nil
 }
+
+// scorerRoute returns the route of a scoring call: the one that now corresponds to the route
+// of the time when the job was accepted, or that route itself if it was removed.
+func (en *Entry) scorerRoute(jo *batch.Job, sc batch.Scorer) (conf.Route, *core.Error) {
+	terms, found := jo.ScorerTerms(sc)
+	if !found {
+		route, _, failed := en.FindRoute(sc.Host, sc.Path)
+		return route, failed
+	}
+	if co := en.config.Load(); co != nil {
+		if route, found := co.Successor(terms.Route()); found {
+			return route, nil
+		}
+	}
+	return terms.Route(), nil
+}
--- a/intake/terms_test.go
+++ b/intake/terms_test.go
@@ -62,12 +62,16 @@
 		{"another prefix, and a plain route has the path", stopPlanned, []conf.Route{scoreRoute, prefix, plain}},
 		{"removed, and a plain route has the path", kill, []conf.Route{scoreRoute, plain}},
 		{"removed, and its name was given to another route", kill, []conf.Route{scoreRoute, other}},
+		{"removed, and all scoring calls' routes", kill, nil},
+		{"the route of the scoring calls has another prefix", kill, []conf.Route{changed(scoreRoute, func(ro *conf.Route) { ro.Prefix = "/score-2/" }), route}},
+		{"a route of jobs has the path of the scoring calls", stays, []conf.Route{route, changed(route, func(ro *conf.Route) { ro.Name, ro.Prefix = "x", "/score/" })}},
 		{"nothing", kill, []conf.Route{scoreRoute, route}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				cl := newCluster(t, 3)
 				defer cl.stop()
+				cl.sender.down = map[string]bool{"lm1": true, "lm2": true, "lm3": true} // for scoring calls
 				jo := job("j1", 120)
 				require.Nil(t, cl.submit(0, jo))
 				time.Sleep(500 * time.Millisecond)
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -79,10 +79,10 @@
 	Run(ctx context.Context, ta fleet.Target, rq Request, event func(Event)) Outcome
 }
 
-// Scorer calls the scoring service for a text. failures is the number of responses
+// Scorer calls the scoring service for a text of a job. failures is the number of responses
 // that reported a failed call. An error with zero failures may be retried.
 type Scorer interface {
-	Score(ctx context.Context, sc batch.Scorer) (score string, failures int, err error)
+	Score(ctx context.Context, jo *batch.Job, sc batch.Scorer) (score string, failures int, err error)
 }
 
 // Owner executes the jobs that this entry owns. Set the exported fields, then call
--- a/runs/step.go
+++ b/runs/step.go
@@ -373,7 +373,7 @@
 		return
 	}
 	go func() {
-		score, failures, err := ow.Scorer.Score(jo.ctx, *it.item.Scorer)
+		score, failures, err := ow.Scorer.Score(jo.ctx, jo.body, *it.item.Scorer)
 		ow.Loop.Post(func() { ow.scoreReceived(jo, it, score, failures, err) })
 	}()
 }
