intake, platform: a job submitted again is recognized after its route was removed

What callers saw: the submission of an accepted job that comes again after its route got another path or was removed is answered 404, after which no client tries again; or 200, run as a plain request, if another route has the path.

Cause: the same look-up by host and path, before the id is looked at.

Change: the head holds to which host and path its job was submitted. If the id is not known here, but an earlier configuration of this process had such a route, the store is read first, since another entry may just have accepted it. Other requests cost a look-up in memory.

Ruled out: answering by the id alone, since a plain request may have any id.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -168,6 +168,9 @@
 	Route string `cbor:"10,keyasint"`
 	// Workspace is that of the job. Jobs of earlier releases have none.
 	Workspace string `cbor:"11,keyasint,omitempty"`
+	// SubmittedTo identifies the host and path of the submission; zero in jobs of earlier
+	// releases.
+	SubmittedTo uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Open reports whether results of the job may still be listed.
--- a/batch/terms.go
+++ b/batch/terms.go
@@ -4,6 +4,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bilberryshelf/conf"
 )
 
@@ -69,3 +71,8 @@
 	}
 	return best, found
 }
+
+// SubmittedTo identifies the host and path to which a job was submitted. It is never zero.
+func SubmittedTo(host, path string) uint64 {
+	return max(xxhash.Sum64String(host+"\x00"+path), 1)
+}
--- a/batch/terms_test.go
+++ b/batch/terms_test.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// Guards against a job of the release before that cannot be read during a rolling
-// upgrade, and against the release before being unable to read one of this.
+// Guards against a job or a head of the release before that cannot be read during a rolling
+// upgrade, and against the release before being unable to read those of this one.
 func TestJobOfEarlierRelease(t *testing.T) {
 	type job struct {
 		ID    string       `cbor:"1,keyasint"`
@@ -45,6 +45,10 @@
 		Path  string       `cbor:"3,keyasint"`
 		Items []batch.Item `cbor:"8,keyasint"`
 	}
+	type head struct {
+		Epoch uint64 `cbor:"1,keyasint"`
+		Route string `cbor:"10,keyasint"`
+	}
 	earlier := job{ID: "j", Host: "h", Path: "/train/x", Items: []batch.Item{{ID: "i", Path: "/i"}}}
 	raw, err := cbor.Marshal(earlier)
 	require.NoError(t, err)
@@ -57,4 +61,14 @@
 	var back job
 	require.NoError(t, cbor.Unmarshal(batch.EncodeJob(jo), &back))
 	require.Equal(t, earlier, back)
+
+	raw, err = cbor.Marshal(head{Epoch: 3, Route: "train"})
+	require.NoError(t, err)
+	he, err := batch.DecodeHead(raw)
+	require.NoError(t, err)
+	require.Equal(t, batch.Head{Epoch: 3, Route: "train"}, he)
+	he.SubmittedTo = batch.SubmittedTo("h", "/train/x")
+	var headBack head
+	require.NoError(t, cbor.Unmarshal(batch.EncodeHead(he), &headBack))
+	require.Equal(t, head{Epoch: 3, Route: "train"}, headBack)
 }
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -199,6 +199,11 @@
 	}
 }
 
+// HasRollout reports whether the host has a route of batch jobs with this prefix.
+func (co *Config) HasRollout(host, prefix string) bool {
+	return slices.ContainsFunc(co.routes[host], func(ro Route) bool { return ro.Kind == Rollout && ro.Prefix == prefix })
+}
+
 // RolloutRoute returns the host's route of batch jobs with this name.
 func (co *Config) RolloutRoute(host, name string) (Route, bool) {
 	at := slices.IndexFunc(co.routes[host], func(ro Route) bool { return ro.Kind == Rollout && ro.Name == name })
--- a/intake/follow.go
+++ b/intake/follow.go
@@ -94,6 +94,7 @@
 		}
 		have := en.config.Load()
 		if next := conf.Newer(have, co); next != have {
+			en.rememberRoutes(have, next) // before requests are judged by the new one
 			en.config.Store(next)
 			en.owner.SetServices(next.Services())
 			en.places.setRoutes(en.clock.Now(), next.AllRoutes())
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -81,10 +81,12 @@
 	dial      func(addr string) table.Client
 	starter   func(addr string) Starter
 
-	config   atomic.Pointer[conf.Config]
-	operator operatorView
-	ready    atomic.Bool
-	stopping atomic.Bool
+	config atomic.Pointer[conf.Config]
+	// formerRoutes are the routes of batch jobs of earlier configurations.
+	formerRoutes atomic.Pointer[[]formerRoute]
+	operator     operatorView
+	ready        atomic.Bool
+	stopping     atomic.Bool
 	// demandStored is set if the store may hold a row with the demand of this node.
 	demandStored atomic.Bool
 	// drain is set once the entry is stopping.
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,7 +30,7 @@
 )
 
 // FindRoute returns the route of a request and the limits in force. It fails while there
-// is no configuration, or if no route matches.
+// is no configuration, or if no route matches. The limits are those in force in that case too.
 func (en *Entry) FindRoute(host, path string) (conf.Route, conf.Limits, *core.Error) {
 	co := en.config.Load()
 	if co == nil {
@@ -36,7 +38,7 @@
 	}
 	route, found := co.Find(host, path)
 	if !found {
-		return conf.Route{}, conf.Limits{}, en.ifFresh(co, core.Refuse(core.CodeUnknownService, "no route for %s%s in configuration %d", host, path, co.Version))
+		return conf.Route{}, co.Limits, en.ifFresh(co, core.Refuse(core.CodeUnknownService, "no route for %s%s in configuration %d", host, path, co.Version))
 	}
 	return route, co.Limits, nil
 }
@@ -70,7 +72,7 @@
 	owner := en.routeOwner(route.Name)
 	he := batch.Head{
 		Epoch: 1, Owner: owner.Name, Total: len(jo.Items), Submitted: en.clock.Now().UnixMilli(), Route: route.Name,
-		Workspace: jo.Workspace,
+		Workspace: jo.Workspace, SubmittedTo: batch.SubmittedTo(jo.Host, jo.Path),
 	}
 	vh, err := en.ledger.Accept(ctx, jo, he)
 	logs.Info(en.logger, "job submitted", "id", jo.ID, "route", route.Name, "step", jo.Step, "items", len(jo.Items),
@@ -90,6 +92,34 @@
 	}
 }
 
+// Accepted reports whether a request that no route of batch jobs matches submits a job again
+// that was accepted: the configuration may have changed since. It fails if the key does not
+// permit that, or if it is not known whether the job exists.
+func (en *Entry) Accepted(ctx context.Context, host, path, key, job string) (bool, *core.Error) {
+	if en.config.Load() == nil {
+		return false, nil
+	}
+	vh, known := en.index.Get(job)
+	if !known && en.hadRoute(host, path) { // another entry may just have accepted it
+		var failed *core.Error
+		if vh, failed = en.findHead(ctx, job, false); failed != nil && failed.Code != core.CodeUnknownJob {
+			return false, failed
+		}
+	}
+	if vh.Version == 0 || vh.Head.SubmittedTo != batch.SubmittedTo(host, path) {
+		return false, nil
+	}
+	return true, en.CheckJob(ctx, host, key, job)
+}
+
+// hadRoute reports whether an earlier configuration had a route of batch jobs for a path.
+func (en *Entry) hadRoute(host, path string) bool {
+	all := en.formerRoutes.Load()
+	return all != nil && slices.ContainsFunc(*all, func(fr formerRoute) bool {
+		return fr.host == host && strings.HasPrefix(path, fr.prefix)
+	})
+}
+
 // checkStore returns a refusal while the store answers on no path, so that a call
 // does not wait for a timeout.
 func (en *Entry) checkStore() *core.Error {
--- a/intake/terms.go
+++ b/intake/terms.go
@@ -1,6 +1,8 @@
 package intake
 
 import (
+	"time"
+
 	"bilberryshelf/batch"
 	"bilberryshelf/conf"
 	"bilberryshelf/core"
@@ -65,3 +67,31 @@
 	}
 	return terms.Route(), nil
 }
+
+// formerRoute is a route of batch jobs that a newer configuration does not have.
+type formerRoute struct {
+	host, prefix string
+	goneAt       time.Time
+}
+
+// rememberRoutes records the routes of batch jobs that a newer configuration does not have any
+// more, as long as jobs that were submitted to them may be open.
+func (en *Entry) rememberRoutes(have, next *conf.Config) {
+	now := en.clock.Now()
+	var former []formerRoute
+	if all := en.formerRoutes.Load(); all != nil {
+		for _, fr := range *all {
+			if now.Sub(fr.goneAt) < maxAdoptAge {
+				former = append(former, fr)
+			}
+		}
+	}
+	if have != nil {
+		for _, ro := range have.AllRoutes() {
+			if ro.Kind == conf.Rollout && !next.HasRollout(ro.Host, ro.Prefix) {
+				former = append(former, formerRoute{ro.Host, ro.Prefix, now})
+			}
+		}
+	}
+	en.formerRoutes.Store(&former)
+}
--- a/intake/terms_test.go
+++ b/intake/terms_test.go
@@ -10,6 +10,8 @@
 
 	"bilberryshelf/batch"
 	"bilberryshelf/conf"
+	"bilberryshelf/core"
+	"bilberryshelf/table"
 	"bilberryshelf/wire"
 )
 
@@ -80,6 +82,9 @@
 				owner := cl.owner("j1")
 				tc.end(cl, owner)
 				node := (owner + 1) % 3
+				accepted, failed := cl.entries[node].Accepted(context.Background(), "h", "/train/x", "", "j1")
+				require.Nil(t, failed)
+				require.True(t, accepted, "the same submission again")
 				time.Sleep(29 * time.Second)
 				cl.requireComplete(node, jo)
 			})
@@ -152,3 +157,50 @@
 		})
 	}
 }
+
+// Guards against an unknown job that counts as accepted, one of another path or workspace, and a
+// wrong answer while the store cannot say whether the job exists.
+func TestResubmittedJobIsChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 2)
+		defer cl.stop()
+		secret := conf.Workspace{Name: "w", Keys: []string{"k"}}
+		withKeys := func(version uint64, all ...conf.Route) {
+			cl.config.Store(conf.New(version, all, nil, conf.Limits{}).WithWorkspaces([]conf.Workspace{secret, {Name: "v", Keys: []string{"l"}}}))
+			cl.put(operatorTable, "config")
+			time.Sleep(time.Second)
+		}
+		withKeys(2, scoreRoute, route)
+		jo := job("j1", 1)
+		jo.Workspace = "w"
+		require.Nil(t, cl.submit(0, jo))
+		withKeys(3, scoreRoute)
+		ask := func(path, key, id string) (bool, core.Code) {
+			accepted, failed := cl.entries[1].Accepted(context.Background(), "h", path, key, id)
+			if failed != nil {
+				return accepted, failed.Code
+			}
+			return accepted, ""
+		}
+		for _, tc := range []struct {
+			path, key, id string
+			accepted      bool
+			code          core.Code
+		}{
+			{"/train/x", "k", "j1", true, ""},
+			{"/train/y", "k", "j1", false, ""},
+			{"/train/x", "k", "j3", false, ""},
+			{"/train/x", "l", "j1", true, core.CodeUnknownJob},
+			{"/train/x", "", "j1", true, core.CodeUnauthorized},
+		} {
+			accepted, code := ask(tc.path, tc.key, tc.id)
+			require.Equal(t, tc.code, code, "%+v", tc)
+			require.Equal(t, tc.accepted, accepted, "%+v", tc)
+		}
+		cl.links[1].setError(table.ErrRefused)
+		cl.relay.setError(table.ErrRefused)
+		time.Sleep(5 * time.Second)
+		_, code := ask("/train/x", "k", "j3")
+		require.Equal(t, core.CodePlatformDown, code, "another entry may just have accepted it")
+	})
+}
