intake: a job of a public route is read without a key after the route was removed

What callers saw: where the deployment has workspaces, a trainer without a key gets 401 for its open job once the public route is removed.

Cause: whether a job is public was asked of the configuration in force.

Change: the head says whether the route was public when the job was accepted.

Measured: two checks of TestResubmittedJobIsChecked that fail without it.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -168,6 +168,8 @@
 	Route string `cbor:"10,keyasint"`
 	// Workspace is that of the job. Jobs of earlier releases have none.
 	Workspace string `cbor:"11,keyasint,omitempty"`
+	// Public is set if the job's route needed no key when the job was accepted.
+	Public bool `cbor:"12,keyasint,omitempty"`
 	// SubmittedTo identifies the host and path of the submission; zero in jobs of earlier
 	// releases.
 	SubmittedTo uint64 `cbor:"13,keyasint,omitempty"`
--- a/batch/terms_test.go
+++ b/batch/terms_test.go
@@ -67,7 +67,7 @@
 	he, err := batch.DecodeHead(raw)
 	require.NoError(t, err)
 	require.Equal(t, batch.Head{Epoch: 3, Route: "train"}, he)
-	he.SubmittedTo = batch.SubmittedTo("h", "/train/x")
+	he.Public, he.SubmittedTo = true, batch.SubmittedTo("h", "/train/x")
 	var headBack head
 	require.NoError(t, cbor.Unmarshal(batch.EncodeHead(he), &headBack))
 	require.Equal(t, head{Epoch: 3, Route: "train"}, headBack)
--- a/intake/access.go
+++ b/intake/access.go
@@ -60,7 +60,7 @@
 		return nil
 	}
 	wo, known := co.Authenticate(key)
-	if !known && !co.PublicJobs(host) {
+	if have, _ := en.index.Get(job); !known && !have.Head.Public && !co.PublicJobs(host) {
 		return en.unauthorized(co, key) // without a read of the store
 	}
 	if failed := en.checkStore(); failed != nil {
@@ -88,9 +88,9 @@
 }
 
 // publicJob reports whether a job exists that needs no key: one that was submitted without
-// a workspace and whose route is public.
+// a workspace and whose route is public, or was when the job was accepted.
 func publicJob(co *conf.Config, host string, vh batch.VersionedHead) bool {
-	return vh.Version > 0 && vh.Head.Workspace == "" && co.PublicRoute(host, vh.Head.Route)
+	return vh.Version > 0 && vh.Head.Workspace == "" && (vh.Head.Public || co.PublicRoute(host, vh.Head.Route))
 }
 
 // checkResubmit returns an error if a job that is submitted again belongs to another workspace.
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -72,7 +72,7 @@
 	owner := en.routeOwner(route.Name)
 	he := batch.Head{
 		Epoch: 1, Owner: owner.Name, Total: len(jo.Items), Submitted: en.clock.Now().UnixMilli(), Route: route.Name,
-		Workspace: jo.Workspace, SubmittedTo: batch.SubmittedTo(jo.Host, jo.Path),
+		Workspace: jo.Workspace, Public: route.Public, SubmittedTo: batch.SubmittedTo(jo.Host, jo.Path),
 	}
 	vh, err := en.ledger.Accept(ctx, jo, he)
 	logs.Info(en.logger, "job submitted", "id", jo.ID, "route", route.Name, "step", jo.Step, "items", len(jo.Items),
--- a/intake/terms_test.go
+++ b/intake/terms_test.go
@@ -174,6 +174,8 @@
 		jo := job("j1", 1)
 		jo.Workspace = "w"
 		require.Nil(t, cl.submit(0, jo))
+		public := job("j2", 1)
+		require.Nil(t, cl.entries[0].Submit(context.Background(), public, changed(route, func(ro *conf.Route) { ro.Public = true })))
 		withKeys(3, scoreRoute)
 		ask := func(path, key, id string) (bool, core.Code) {
 			accepted, failed := cl.entries[1].Accepted(context.Background(), "h", path, key, id)
@@ -192,11 +194,13 @@
 			{"/train/x", "k", "j3", false, ""},
 			{"/train/x", "l", "j1", true, core.CodeUnknownJob},
 			{"/train/x", "", "j1", true, core.CodeUnauthorized},
+			{"/train/x", "", "j2", true, ""},
 		} {
 			accepted, code := ask(tc.path, tc.key, tc.id)
 			require.Equal(t, tc.code, code, "%+v", tc)
 			require.Equal(t, tc.accepted, accepted, "%+v", tc)
 		}
+		require.Nil(t, cl.entries[1].CheckJob(context.Background(), "h", "", "j2"), "a job of a public route that was removed is read without a key")
 		cl.links[1].setError(table.ErrRefused)
 		cl.relay.setError(table.ErrRefused)
 		time.Sleep(5 * time.Second)
