runs: a job follows its route to another service once its own has no engines

Cause: the service of a job was chosen once, when it began.

Change: a job whose service has no engines that take work goes on at a service of the route that corresponds to its own now, or at another one that it was accepted for. Texts that are not complete begin anew there; stored texts name their service, and are continued there only.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -218,6 +218,8 @@
 	Step int `cbor:"5,keyasint"`
 	// Software is the version of the software of the engines that generated it.
 	Software string `cbor:"6,keyasint,omitempty"`
+	// Service is the service of those engines; empty in texts of earlier releases.
+	Service string `cbor:"7,keyasint,omitempty"`
 	// Rows are the rows that hold the text; not part of the stored value.
 	Rows []table.ID `cbor:"-"`
 }
--- a/intake/cluster_test.go
+++ b/intake/cluster_test.go
@@ -70,6 +70,8 @@
 	// the versions that generated the events from the last beginning on.
 	software *sync.Map
 	origins  map[string]map[string]bool
+	// services holds, for each item, the services that generated those events.
+	services map[string]map[string]bool
 	// workspaces maps an item to the workspace of its last run.
 	workspaces sync.Map
 }
@@ -142,9 +144,9 @@
 			en.mutex.Lock()
 			en.generated[id]++
 			if at == 1 || en.origins[id] == nil {
-				en.origins[id] = map[string]bool{}
+				en.origins[id], en.services[id] = map[string]bool{}, map[string]bool{}
 			}
-			en.origins[id][name] = true
+			en.origins[id][name], en.services[id][ta.Service] = true, true
 			en.mutex.Unlock()
 			event(runs.Event{Data: fmt.Sprintf("%s-%d", id, at), Version: version})
 		}
@@ -511,6 +513,9 @@
 			if strings.HasPrefix(ro.ID.Key, "lm") {
 				ta.Service, ta.Models = "lm", map[string]uint64{"m": 1}
 			}
+			if strings.HasPrefix(ro.ID.Key, "lmb") {
+				ta.Service = "lmb"
+			}
 			return ta, nil
 		},
 	}
@@ -523,7 +528,7 @@
 		engines: &engines{version: 1, runs: map[string]int{}, running: map[string]int{}, fail: map[string]runs.Ending{}, stalled: map[string]bool{}, generated: map[string]int{}, empty: map[string]int{}},
 	}
 	cl.relay.Rows = cl.rows
-	cl.engines.software, cl.engines.origins = &cl.software, map[string]map[string]bool{}
+	cl.engines.software, cl.engines.origins, cl.engines.services = &cl.software, map[string]map[string]bool{}, map[string]map[string]bool{}
 	cl.logger = log.NewLogfmtLogger(log.NewSyncWriter(&cl.logs))
 	cl.put(operatorTable, "config")
 	for _, id := range []string{"lm1", "lm2", "lm3", "desk1", "desk2"} {
--- a/intake/follow.go
+++ b/intake/follow.go
@@ -96,7 +96,7 @@
 		if next := conf.Newer(have, co); next != have {
 			en.rememberRoutes(have, next) // before requests are judged by the new one
 			en.config.Store(next)
-			en.owner.SetServices(next.Services())
+			en.owner.SetConfig(next)
 			en.places.setRoutes(en.clock.Now(), next.AllRoutes())
 			en.meters.Gauge("config-version", "", int64(next.Version))
 			logs.Info(en.logger, "configuration adopted", "version", next.Version, "routes", next.Routes(), "row", ro.Version)
--- a/intake/terms_test.go
+++ b/intake/terms_test.go
@@ -208,3 +208,53 @@
 		require.Equal(t, core.CodePlatformDown, code, "another entry may just have accepted it")
 	})
 }
+
+// Guards against a step that stays on a service that its route and its engines have left, and
+// against texts of two services that are joined when it follows them.
+func TestJobFollowsItsRoute(t *testing.T) {
+	moved := changed(route, func(ro *conf.Route) { ro.Shares = []conf.Share{{Service: "lmb", Weight: 1}} })
+	for _, tc := range []struct {
+		name  string
+		route conf.Route
+		end   endOwner
+		// stays is set if the engines do not leave.
+		stays bool
+	}{
+		{"the owner stays", moved, stays, false},
+		{"the owner ends", moved, kill, false},
+		{"another prefix too", changed(moved, func(ro *conf.Route) { ro.Prefix = "/train-2/" }), kill, false},
+		{"the engines stay", moved, kill, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 3)
+				defer cl.stop()
+				jo := job("j1", 60)
+				require.Nil(t, cl.submit(0, jo))
+				time.Sleep(500 * time.Millisecond)
+				cl.setRoutes(2, scoreRoute, tc.route)
+				for _, id := range []string{"lmb1", "lmb2", "lmb3"} {
+					cl.put(targetTable, id)
+				}
+				time.Sleep(1500 * time.Millisecond)
+				if !tc.stays {
+					for _, id := range []string{"lm1", "lm2", "lm3"} {
+						cl.drop(targetTable, id)
+					}
+				}
+				tc.end(cl, cl.owner("j1"))
+				time.Sleep(25 * time.Second)
+				cl.requireComplete(cl.live(), jo)
+				both := map[string]int{}
+				for _, it := range jo.Items {
+					services := cl.engines.services[it.ID]
+					require.Len(t, services, 1, "the text of %s is of two services", it.ID)
+					for service := range services {
+						both[service]++
+					}
+				}
+				require.Equal(t, tc.stays, both["lmb"] == 0, "an open job goes on at its service while that has engines")
+			})
+		})
+	}
+}
--- a/runs/job.go
+++ b/runs/job.go
@@ -33,7 +33,7 @@
 	// receivedAt is when this owner received the job.
 	receivedAt time.Time
 	// service runs all items of the job: engines of another service would have to
-	// read its prompts again.
+	// read its prompts again. It changes only if it has no engines any more.
 	service string
 	items   []*item
 	// results are ready but not listed, the oldest since readySince. lastWriteAt is when
@@ -120,7 +120,8 @@
 		if !found || it.state == scoring || it.state == done || !pa.Permitted(jo.body.MinVersion) || !it.versionsFit(jo.route, pa.Versions) {
 			continue
 		}
-		if len(pa.Events) < it.eventCount()+minReuseGain || (!pa.Complete && !continuable(pa.Software)) {
+		foreign := pa.Service != "" && pa.Service != jo.service
+		if len(pa.Events) < it.eventCount()+minReuseGain || (!pa.Complete && (foreign || !continuable(pa.Software))) {
 			continue
 		}
 		if it.run != nil {
@@ -129,6 +130,7 @@
 			it.run.cancel()
 		}
 		it.events, it.versions, it.software, it.resumed, it.complete = pa.Events, pa.Versions, pa.Software, true, pa.Complete
+		it.service = jo.service
 		it.emptyEnds = 0
 		it.releaseText() // another text
 		used++
@@ -146,6 +148,8 @@
 	text *heldText
 	// software is the version of the software that generated the events.
 	software string
+	// service is the service of the engines that generated the events; empty if there are none.
+	service  string
 	complete bool
 	// waitingSince is when the last run ended, at first when the job was received.
 	// beginsAnew is set if the run was canceled to begin the text anew.
@@ -252,7 +256,7 @@
 
 // reset discards the generated text.
 func (it *item) reset() {
-	it.events, it.versions, it.software, it.complete, it.emptyEnds = nil, nil, "", false, 0
+	it.events, it.versions, it.software, it.service, it.complete, it.emptyEnds = nil, nil, "", "", false, 0
 	it.releaseText()
 }
 
@@ -275,7 +279,7 @@
 // there is any.
 func (it *item) partial(jo *job) (batch.Partial, bool) {
 	pa := batch.Partial{
-		ID: it.item.ID, Events: it.events, Versions: it.versions, Software: it.software, Complete: it.complete, Step: jo.body.Step, Rows: it.rows,
+		ID: it.item.ID, Events: it.events, Versions: it.versions, Software: it.software, Service: it.service, Complete: it.complete, Step: jo.body.Step, Rows: it.rows,
 	}
 	if it.run != nil {
 		cp := item{events: slices.Clip(it.events), versions: slices.Clip(it.versions), software: it.software}
--- a/runs/models.go
+++ b/runs/models.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"bilberryshelf/conf"
 	"bilberryshelf/order"
 	"bilberryshelf/place"
 )
@@ -15,15 +14,6 @@
 	})
 }
 
-// SetServices records the memory of the engines of each service.
-func (ow *Owner) SetServices(services []conf.Service) {
-	ow.Loop.Post(func() {
-		for _, se := range services {
-			ow.memory[se.Name] = se.KVCapacity
-		}
-	})
-}
-
 // load is an engine that loads weights, and when this became known.
 type load struct {
 	addr string
--- a/runs/runs.go
+++ b/runs/runs.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 
 	"bilberryshelf/batch"
+	"bilberryshelf/conf"
 	"bilberryshelf/core"
 	"bilberryshelf/fleet"
 	"bilberryshelf/limit"
@@ -120,6 +121,8 @@
 	models      map[modelKey]*modelState
 	demands     order.Demands
 	shortagesAt time.Time
+	// config is the configuration in force; nil before the first one.
+	config *conf.Config
 	// memory maps a service to the number of tokens that each of its engines can keep.
 	memory map[string]int
 	// longestText maps a route to the number of events of its longest complete text.
@@ -212,6 +215,9 @@
 	for _, jo := range ow.jobs {
 		ow.applyHead(jo)
 	}
+	for _, jo := range ow.jobs {
+		ow.followService(jo)
+	}
 	for _, jo := range ow.jobs {
 		ow.expire(now, jo)
 		ow.discardYielded(now, jo)
--- a/runs/step.go
+++ b/runs/step.go
@@ -173,6 +173,9 @@
 	if jo.route.SingleVersion {
 		it.reset()
 	}
+	if len(it.events) == 0 {
+		it.service = en.target.Service
+	}
 	it.beginsAnew = false
 	ctx, cancel := context.WithCancel(ow.ctx)
 	if it.text == nil {
@@ -279,6 +282,7 @@
 		en.versions[jo.body.Model] = 0
 		it.notBefore = now.Add(refusedBackoff)
 	}
+	ow.dropForeignText(jo, it)
 }
 
 // discarded discards the text of an item if its run made it too long or it had to yield, and
