--- a/intake/terms_test.go
+++ b/intake/terms_test.go
@@ -53,21 +53,26 @@
 		name   string
 		end    endOwner
 		routes []conf.Route
+		// then are the routes of a configuration right after that; nil means that there is none.
+		then []conf.Route
 	}{
-		{"another prefix", stays, []conf.Route{scoreRoute, prefix}},
-		{"another prefix", kill, []conf.Route{scoreRoute, prefix}},
-		{"another prefix", stopPlanned, []conf.Route{scoreRoute, prefix}},
-		{"another host", kill, []conf.Route{scoreRoute, changed(route, func(ro *conf.Route) { ro.Host = "g" })}},
-		{"removed", stopPlanned, []conf.Route{scoreRoute}},
-		{"removed", stays, []conf.Route{scoreRoute}},
-		{"another name", kill, []conf.Route{scoreRoute, changed(route, func(ro *conf.Route) { ro.Name = "learn" })}},
-		{"another prefix, and a plain route has the path", stopPlanned, []conf.Route{scoreRoute, prefix, plain}},
-		{"removed, and a plain route has the path", kill, []conf.Route{scoreRoute, plain}},
-		{"removed, and its name was given to another route", kill, []conf.Route{scoreRoute, other}},
-		{"removed, and all scoring calls' routes", kill, nil},
-		{"the route of the scoring calls has another prefix", kill, []conf.Route{changed(scoreRoute, func(ro *conf.Route) { ro.Prefix = "/score-2/" }), route}},
-		{"a route of jobs has the path of the scoring calls", stays, []conf.Route{route, changed(route, func(ro *conf.Route) { ro.Name, ro.Prefix = "x", "/score/" })}},
-		{"nothing", kill, []conf.Route{scoreRoute, route}},
+		{name: "another prefix, the owner stays", end: stays, routes: []conf.Route{scoreRoute, prefix}},
+		{name: "another prefix", end: kill, routes: []conf.Route{scoreRoute, prefix}},
+		{name: "another prefix, a planned stop", end: stopPlanned, routes: []conf.Route{scoreRoute, prefix}},
+		{name: "another host", end: kill, routes: []conf.Route{scoreRoute, changed(route, func(ro *conf.Route) { ro.Host = "g" })}},
+		{name: "removed", end: stopPlanned, routes: []conf.Route{scoreRoute}},
+		{name: "removed, the owner stays", end: stays, routes: []conf.Route{scoreRoute}},
+		{name: "another name", end: kill, routes: []conf.Route{scoreRoute, changed(route, func(ro *conf.Route) { ro.Name = "learn" })}},
+		{name: "another prefix, and a plain route has the path", end: stopPlanned, routes: []conf.Route{scoreRoute, prefix, plain}},
+		{name: "removed, and a plain route has the path", end: kill, routes: []conf.Route{scoreRoute, plain}},
+		{name: "removed, and its name was given to another route", end: kill, routes: []conf.Route{scoreRoute, other}},
+		{name: "removed, and all scoring calls' routes", end: kill},
+		{name: "the route of the scoring calls has another prefix", end: kill, routes: []conf.Route{changed(scoreRoute, func(ro *conf.Route) { ro.Prefix = "/score-2/" }), route}},
+		{name: "a route of jobs has the path of the scoring calls", end: stays, routes: []conf.Route{route, changed(route, func(ro *conf.Route) { ro.Name, ro.Prefix = "x", "/score/" })}},
+		{name: "removed, and it comes back", end: kill, routes: []conf.Route{scoreRoute}, then: []conf.Route{scoreRoute, route}},
+		{name: "another prefix, then removed", end: stopPlanned, routes: []conf.Route{scoreRoute, prefix}, then: []conf.Route{scoreRoute}},
+		{name: "another prefix, then another name", end: kill, routes: []conf.Route{scoreRoute, prefix}, then: []conf.Route{scoreRoute, changed(prefix, func(ro *conf.Route) { ro.Name = "learn" })}},
+		{name: "nothing", end: kill, routes: []conf.Route{scoreRoute, route}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -78,6 +83,10 @@
 				require.Nil(t, cl.submit(0, jo))
 				time.Sleep(500 * time.Millisecond)
 				cl.setRoutes(2, tc.routes...)
+				if tc.then != nil {
+					time.Sleep(300 * time.Millisecond)
+					cl.setRoutes(3, tc.then...)
+				}
 				time.Sleep(500 * time.Millisecond)
 				owner := cl.owner("j1")
 				tc.end(cl, owner)
