--- a/intake/access.go
+++ b/intake/access.go
@@ -60,7 +60,7 @@
 		return nil
 	}
 	wo, known := co.Authenticate(key)
-	if have, _ := en.index.Get(job); !known && !have.Head.Public && !co.PublicJobs(host) {
+	if !known && !en.maybePublic(co, host, job) {
 		return en.unauthorized(co, key) // without a read of the store
 	}
 	if failed := en.checkStore(); failed != nil {
@@ -79,6 +79,13 @@
 	}
 }
 
+// maybePublic reports whether a job at a host may need no key, as far as that is known without a
+// read of the store.
+func (en *Entry) maybePublic(co *conf.Config, host, job string) bool {
+	vh, _ := en.index.Get(job)
+	return vh.Head.Public || co.PublicJobs(host)
+}
+
 // mayAccess returns an error if a job does not exist or belongs to another workspace.
 func mayAccess(job string, vh batch.VersionedHead, wo conf.Workspace) *core.Error {
 	if vh.Version == 0 || !vh.Head.MayAccess(wo.Name) {
--- a/intake/demand.go
+++ b/intake/demand.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"bilberryshelf/logs"
 	"bilberryshelf/order"
 	"bilberryshelf/table"
@@ -16,39 +15,11 @@
 // reported.
 const demandPoll = 200 * time.Millisecond
 
-// reportDemand writes the demand of this entry's jobs while a model is short of engines: when
-// it changes, and each order.DemandInterval to renew it.
+// reportDemand writes the demand of this entry's jobs while a model is short of engines.
 func (en *Entry) reportDemand(ctx context.Context) {
-	var (
-		written   []order.Demand
-		writtenAt time.Time
-		failedAt  time.Time
-		renewal   uint64
-	)
+	re := demandReport{entry: en}
 	for ctx.Err() == nil {
-		demands := en.owner.ReportedDemand()
-		now := en.clock.Now()
-		due := now.Sub(writtenAt) >= order.DemandInterval
-		switch {
-		case len(demands) == 0 && (!en.demandStored.Load() || now.Sub(failedAt) < order.DemandInterval):
-		case len(demands) == 0:
-			err := en.write(ctx, table.Tx{Drops: []table.ID{order.DemandID(en.settings.Node)}})
-			if err != nil {
-				failedAt = now
-			}
-			logs.Info(en.logger, "demand withdrawn", "err", err)
-			en.demandStored.Store(err != nil)
-			written = nil
-		case due || !slices.Equal(demands, written):
-			renewal++
-			if err := en.writeDemand(ctx, order.Row{Demands: demands, Renewal: renewal}); err != nil {
-				logs.Warn(en.logger, "demand not reported", "models", len(demands), "err", err)
-			} else if !slices.Equal(demands, written) {
-				logs.Info(en.logger, "demand reported", "demands", demands)
-			}
-			written, writtenAt = demands, now
-			en.demandStored.Store(true) // also if it is not known
-		}
+		re.update(ctx, en.owner.ReportedDemand())
 		select {
 		case <-ctx.Done():
 		case <-en.clock.After(demandPoll):
@@ -56,10 +27,44 @@
 	}
 }
 
-func (en *Entry) writeDemand(ctx context.Context, re order.Row) error {
-	raw, err := re.Encode()
+// demandReport is the row with the demand of an entry's jobs.
+type demandReport struct {
+	entry *Entry
+	// demands were last written at writtenAt.
+	demands   []order.Demand
+	writtenAt time.Time
+	renewals  uint64
+}
+
+// update writes the row when the demand changes, and each order.DemandInterval to renew it. It
+// deletes the row when there is no demand any more.
+func (dr *demandReport) update(ctx context.Context, demands []order.Demand) {
+	en, now := dr.entry, dr.entry.clock.Now()
+	changed, due := !slices.Equal(demands, dr.demands), now.Sub(dr.writtenAt) >= order.DemandInterval
+	if (!changed && !due) || (len(demands) == 0 && !en.demandStored.Load()) {
+		return
+	}
+	if changed {
+		logs.Info(en.logger, "demand changed", "demands", fmt.Sprintf("%+v", demands))
+	}
+	dr.demands, dr.writtenAt = demands, now
+	if err := dr.write(ctx); err != nil {
+		logs.Warn(en.logger, "demand not reported", "models", len(demands), "err", err)
+	}
+}
+
+func (dr *demandReport) write(ctx context.Context) error {
+	en, id := dr.entry, order.DemandID(dr.entry.settings.Node)
+	if len(dr.demands) == 0 {
+		err := en.write(ctx, table.Tx{Drops: []table.ID{id}})
+		en.demandStored.Store(err != nil)
+		return err
+	}
+	dr.renewals++
+	raw, err := order.Row{Demands: dr.demands, Renewal: dr.renewals}.Encode()
 	if err != nil {
-		return errors.Wrap(err, "encode the demand of an entry")
+		return err
 	}
-	return en.write(ctx, table.Tx{Puts: []table.Put{{ID: order.DemandID(en.settings.Node), Value: raw}}})
+	en.demandStored.Store(true) // also if the outcome of the write is not known
+	return en.write(ctx, table.Tx{Puts: []table.Put{{ID: id, Value: raw}}})
 }
--- a/runs/job.go
+++ b/runs/job.go
@@ -120,8 +120,7 @@
 		if !found || it.state == scoring || it.state == done || !pa.Permitted(jo.body.MinVersion) || !it.versionsFit(jo.route, pa.Versions) {
 			continue
 		}
-		foreign := pa.Service != "" && pa.Service != jo.service
-		if len(pa.Events) < it.eventCount()+minReuseGain || (!pa.Complete && (foreign || !continuable(pa.Software))) {
+		if len(pa.Events) < it.eventCount()+minReuseGain || (!pa.Complete && (jo.foreign(pa) || !continuable(pa.Software))) {
 			continue
 		}
 		if it.run != nil {
@@ -138,6 +137,9 @@
 	return used
 }
 
+// foreign reports whether engines of another service generated a stored text.
+func (jo *job) foreign(pa batch.Partial) bool { return pa.Service != "" && pa.Service != jo.service }
+
 // item is one item of a job.
 type item struct {
 	item     *batch.Item
--- a/runs/shortage.go
+++ b/runs/shortage.go
@@ -51,28 +51,14 @@
 	ow.shortagesAt = now
 	states := map[modelKey]*modelState{}
 	for _, jo := range ow.jobs {
-		ow.countOpenItems(now, jo, states)
-	}
-	for _, en := range ow.engines {
-		for ru := range en.runs {
-			st := states[modelKey{en.target.Service, ru.job.body.Model}]
-			if last, version := ru.progress(); st != nil && version > 0 && ow.assignedTo(en, ru.job.body.Model) && last.After(st.progressAt) {
-				st.progressAt = last
-			}
-		}
+		ow.addOpenItems(now, jo, states)
 	}
+	ow.recordProgress(states)
+	ow.models = states
 	count := 0
 	for key, st := range states {
-		if st.able && now.Sub(st.progressAt) < stalledDelay {
-			st.servedAt = now
-		}
-		delay := shortageDelay
-		if st.able {
-			delay = 0 // stalledDelay has passed
-		}
-		if short := now.Sub(st.servedAt) >= delay && st.servedAt != now; short != st.short {
-			st.short = short
-			logs.Info(ow.Logger, "shortage of engines changed", "service", key.service, "model", key.model, "short", short, "open", st.open,
+		if st.update(now) {
+			logs.Info(ow.Logger, "shortage of engines changed", "service", key.service, "model", key.model, "short", st.short, "open", st.open,
 				"version", st.version, "own-engine", st.able, "last-event", now.Sub(st.progressAt))
 			ow.place()
 		}
@@ -81,21 +67,41 @@
 		}
 	}
 	ow.Meters.Gauge("models-short", "", int64(count))
-	ow.models = states
 }
 
-// countOpenItems adds the open items of a job to the state of its model.
-func (ow *Owner) countOpenItems(now time.Time, jo *job, states map[modelKey]*modelState) {
-	key := modelKey{jo.service, jo.body.Model}
-	open := 0
-	for _, it := range jo.items {
-		if it.state == running || (it.state == waiting && !it.complete) {
-			open++
+// update determines whether the model is short of engines, and reports whether that changed.
+func (st *modelState) update(now time.Time) bool {
+	short := st.able // if it has not made progress for stalledDelay
+	switch {
+	case st.able && now.Sub(st.progressAt) < stalledDelay:
+		st.servedAt, short = now, false
+	case !st.able:
+		short = now.Sub(st.servedAt) >= shortageDelay
+	}
+	changed := short != st.short
+	st.short = short
+	return changed
+}
+
+// recordProgress records when engines last sent events of the models that they are assigned to.
+func (ow *Owner) recordProgress(states map[modelKey]*modelState) {
+	for _, en := range ow.engines {
+		for ru := range en.runs {
+			st := states[modelKey{en.target.Service, ru.job.body.Model}]
+			if last, version := ru.progress(); st != nil && version > 0 && ow.assignedTo(en, ru.job.body.Model) && last.After(st.progressAt) {
+				st.progressAt = last
+			}
 		}
 	}
+}
+
+// addOpenItems adds the open items of a job to the state of its model.
+func (ow *Owner) addOpenItems(now time.Time, jo *job, states map[modelKey]*modelState) {
+	open := jo.openItems()
 	if open == 0 {
 		return
 	}
+	key := modelKey{jo.service, jo.body.Model}
 	st := states[key]
 	if st == nil {
 		st = &modelState{servedAt: now, progressAt: now, able: true}
@@ -108,15 +114,25 @@
 	st.version = max(st.version, jo.body.MinVersion)
 	able := false
 	for _, en := range ow.engines {
-		if en.target.Service != jo.service || en.target.Draining || ow.Departures.Departing(en.target) {
-			continue
+		if en.target.Service == jo.service && !en.target.Draining && !ow.Departures.Departing(en.target) {
+			st.slots = max(st.slots, en.target.Slots)
+			able = able || (ow.assignedTo(en, jo.body.Model) && en.version(jo.body.Model) >= jo.body.MinVersion)
 		}
-		st.slots = max(st.slots, en.target.Slots)
-		able = able || (ow.assignedTo(en, jo.body.Model) && en.version(jo.body.Model) >= jo.body.MinVersion)
 	}
 	st.able = st.able && able
 }
 
+// openItems returns the number of items that run or wait for an engine.
+func (jo *job) openItems() int {
+	count := 0
+	for _, it := range jo.items {
+		if it.state == running || (it.state == waiting && !it.complete) {
+			count++
+		}
+	}
+	return count
+}
+
 // assignedTo reports whether an engine is assigned to a model, or to none. Jobs without a model
 // run on any engine.
 func (ow *Owner) assignedTo(en *engine, model string) bool {
