intake, conf: fewer reads of the store and of the configuration for former routes

What callers would see: after the path of a route of batch jobs was given to a plain route, each POST there cost a read of the store for two minutes, and was refused while the store was out. Found on reading again.

Change: the store is read only until the copy of the heads is known to be complete as of 10 s after the change; by then no entry accepts jobs under the earlier configuration. The route that corresponds to a stored one is looked for at its host first.

Measured: the last check of TestResubmittedJobIsChecked fails without it.

--- a/conf/conf.go
+++ b/conf/conf.go
@@ -168,34 +168,51 @@
 func (co *Config) Successor(ro Route) (Route, bool) {
 	var (
 		best Route
-		rank int
+		rank resemblance
 	)
-	for _, other := range co.AllRoutes() {
-		if other.Kind != ro.Kind {
-			continue
+	look := func(all []Route) {
+		for _, other := range all {
+			if have := ro.resemblance(other); have > rank {
+				best, rank = other, have
+			}
 		}
-		if have := ro.resemblance(other); have > rank {
-			best, rank = other, have
+	}
+	look(co.routes[ro.Host])
+	if rank == differs {
+		for _, all := range co.routes {
+			look(all)
 		}
 	}
-	return best, rank > 0
+	return best, rank > differs
 }
 
-// resemblance ranks how much of its identity a route shares with another one. It is zero if
-// they differ in two of name, host and prefix.
-func (ro Route) resemblance(other Route) int {
+// resemblance ranks how much of its identity a route shares with another one: two of name, host
+// and prefix, or all.
+type resemblance int
+
+const (
+	differs resemblance = iota
+	sameNameAndPrefix
+	sameHostAndPrefix
+	sameNameAndHost
+	same
+)
+
+func (ro Route) resemblance(other Route) resemblance {
 	name, host, prefix := ro.Name == other.Name, ro.Host == other.Host, ro.Prefix == other.Prefix
 	switch {
+	case ro.Kind != other.Kind:
+		return differs
 	case name && host && prefix:
-		return 4
+		return same
 	case name && host:
-		return 3
+		return sameNameAndHost
 	case host && prefix:
-		return 2
+		return sameHostAndPrefix
 	case name && prefix:
-		return 1
+		return sameNameAndPrefix
 	default:
-		return 0
+		return differs
 	}
 }
 
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -23,6 +23,9 @@
 	// maxHeadAge bounds the age of the last confirmation of the feed of heads. After it
 	// a head is read from the store again before a response without results.
 	maxHeadAge = 700 * time.Millisecond
+	// acceptLag is how long after this entry adopted a configuration others may still accept
+	// jobs under the one before.
+	acceptLag = 10 * time.Second
 	// maxEndAttempts bounds the attempts to end a job while its owner writes to it.
 	maxEndAttempts = 10
 	// maxResponseBytes bounds the texts of one response, below the clients' limit of 1 MB.
@@ -100,7 +103,7 @@
 		return false, nil
 	}
 	vh, known := en.index.Get(job)
-	if !known && en.hadRoute(host, path) { // another entry may just have accepted it
+	if !known && en.mayLackJob(host, path) {
 		var failed *core.Error
 		if vh, failed = en.findHead(ctx, job, false); failed != nil && failed.Code != core.CodeUnknownJob {
 			return false, failed
@@ -112,11 +115,13 @@
 	return true, en.CheckJob(ctx, host, key, job)
 }
 
-// hadRoute reports whether an earlier configuration had a route of batch jobs for a path.
-func (en *Entry) hadRoute(host, path string) bool {
+// mayLackJob reports whether the index may lack a job that was submitted to a path: an earlier
+// configuration had a route of batch jobs there, and the index was not known to be complete since
+// the last entry stopped to accept jobs under it.
+func (en *Entry) mayLackJob(host, path string) bool {
 	all := en.formerRoutes.Load()
 	return all != nil && slices.ContainsFunc(*all, func(fr formerRoute) bool {
-		return fr.host == host && strings.HasPrefix(path, fr.prefix)
+		return fr.host == host && strings.HasPrefix(path, fr.prefix) && en.index.ConfirmedAt().Before(fr.goneAt.Add(acceptLag))
 	})
 }
 
--- a/intake/terms_test.go
+++ b/intake/terms_test.go
@@ -215,6 +215,14 @@
 		time.Sleep(5 * time.Second)
 		_, code := ask("/train/x", "k", "j3")
 		require.Equal(t, core.CodePlatformDown, code, "another entry may just have accepted it")
+		cl.links[1].setError(nil)
+		cl.relay.setError(nil)
+		time.Sleep(12 * time.Second)
+		cl.links[1].setError(table.ErrRefused)
+		cl.relay.setError(table.ErrRefused)
+		accepted, code := ask("/train/x", "k", "j3")
+		require.Empty(t, code, "all jobs of the route are known")
+		require.False(t, accepted)
 	})
 }
 
