soak: the route of the jobs changes while faults are injected

The trainer submits at the path in force and sends about half of its accepted jobs again at the path of their submission, which must not be answered with a 4xx status.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -3,6 +3,7 @@
 package soak_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -67,6 +68,10 @@
 	addrs [][]string
 	// configVersion is the version of the configuration in the store.
 	configVersion atomic.Uint64
+	// configuring is held while the configuration is written; trainRoute is the route of the
+	// jobs in it.
+	configuring sync.Mutex
+	trainRoute  trainRoute
 
 	mutex sync.Mutex
 	// startCounts is how often each request or item began to run on a target, by id.
@@ -201,7 +206,42 @@
 
 // changeConfig writes the next version of the configuration.
 func (cl *cluster) changeConfig() {
-	cl.putRow("op", "config", fmt.Sprintf(routeConfig, cl.configVersion.Add(1)))
+	cl.configuring.Lock()
+	defer cl.configuring.Unlock()
+	text := fmt.Sprintf(routeConfig, cl.configVersion.Add(1))
+	cl.putRow("op", "config", strings.Replace(text, trainRoute{}.text(), cl.trainRoute.text(), 1))
+}
+
+// trainRoute is the route of the jobs.
+type trainRoute struct {
+	// name and prefix are "train" and "/train/" unless they are set.
+	name, prefix string
+	removed      bool
+}
+
+func (tr trainRoute) path() string { return cmp.Or(tr.prefix, "/train/") }
+
+func (tr trainRoute) text() string {
+	if tr.removed {
+		return ""
+	}
+	return fmt.Sprintf(`{"name":"%s","host":"h","path_prefix":"%s","kind":"rollout","target_latency_ms":500,"deadline_ms":7500,"item_ttl_s":120,"max_attempts":3,"service":"lm"},`,
+		cmp.Or(tr.name, "train"), tr.path()) // the line of routeConfig
+}
+
+// setTrainRoute changes the route of the jobs.
+func (cl *cluster) setTrainRoute(tr trainRoute) {
+	cl.configuring.Lock()
+	cl.trainRoute = tr
+	cl.configuring.Unlock()
+	cl.changeConfig()
+}
+
+// submitPath returns the path to which jobs are submitted now.
+func (cl *cluster) submitPath() string {
+	cl.configuring.Lock()
+	defer cl.configuring.Unlock()
+	return cl.trainRoute.path() + "x"
 }
 
 const routeConfig = `{"version":%d,"routes":[
--- a/soak/trainer_test.go
+++ b/soak/trainer_test.go
@@ -86,13 +86,13 @@
 		tr.cluster.recordViolation("encode a job: %v", err)
 		return false
 	}
-	refused := true
+	refused, path := true, tr.cluster.submitPath()
 	for range 4 {
-		res, err := tr.send(ctx, http.MethodPost, tr.randomEntry(), "/train/x", job, body)
+		res, err := tr.send(ctx, http.MethodPost, tr.randomEntry(), path, job, body)
 		if err == nil {
 			_ = res.Body.Close() // only the status is needed
 			if res.StatusCode == http.StatusAccepted {
-				tr.resubmit(ctx, job, body)
+				tr.resubmit(ctx, path, job, body)
 				return true
 			}
 		}
@@ -108,12 +108,12 @@
 // resubmit sends about half of the accepted jobs a second time, like a client that
 // lost the first response. It must not be rejected with a 4xx status and must change
 // nothing: readPage checks that the results stay the same.
-func (tr *trainer) resubmit(ctx context.Context, job string, body []byte) {
+func (tr *trainer) resubmit(ctx context.Context, path, job string, body []byte) {
 	if tr.resubmitRNG.IntN(2) > 0 {
 		return
 	}
 	time.Sleep(time.Duration(tr.resubmitRNG.IntN(1000)) * time.Millisecond)
-	res, err := tr.send(ctx, http.MethodPost, tr.randomEntry(), "/train/x", job, body)
+	res, err := tr.send(ctx, http.MethodPost, tr.randomEntry(), path, job, body)
 	if err != nil {
 		return
 	}
