intake: more tests of models without engines

The owner is cut off, dies or is stopped after the engine is lost; a frozen guard holds the slot; trainers of four models share one to three engines and always have a step open.

--- a/intake/shortage_test.go
+++ b/intake/shortage_test.go
@@ -156,10 +156,13 @@
 	mutex   sync.Mutex
 	engines map[string]*weightEngine
 	entries []*intake.Entry
-	stops   map[string]context.CancelFunc
-	group   sync.WaitGroup
-	ctx     context.Context
-	cancel  context.CancelFunc
+	links   []*link
+	// dead is the entry that was killed, or -1.
+	dead   int
+	stops  map[string]context.CancelFunc
+	group  sync.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 func (ww *weightWorld) Run(ctx context.Context, ta fleet.Target, rq runs.Request, event func(runs.Event)) runs.Outcome {
@@ -246,7 +249,7 @@
 // newWeightWorld starts two entries and engines with their guards. unguarded engines have none.
 func newWeightWorld(t *testing.T, models, engineCount, unguarded int) *weightWorld {
 	t.Helper()
-	ww := &weightWorld{t: t, rows: &fake.Rows{}, engines: map[string]*weightEngine{}, stops: map[string]context.CancelFunc{}}
+	ww := &weightWorld{t: t, dead: -1, rows: &fake.Rows{}, engines: map[string]*weightEngine{}, stops: map[string]context.CancelFunc{}}
 	ww.ctx, ww.cancel = context.WithCancel(context.Background())
 	for at := range models {
 		ww.models = append(ww.models, fmt.Sprint("m", at))
@@ -271,10 +274,10 @@
 }
 
 func (ww *weightWorld) startEntry(node int) {
-	name := fmt.Sprint("n", node)
+	name, li := fmt.Sprint("n", node), &link{Rows: ww.rows}
 	en := intake.New(
 		intake.Settings{Node: name, Domain: "d", Inner: name, Grace: 8 * time.Second, FirstStart: true},
-		intake.Ports{Direct: ww.rows, Sender: ww, Engine: ww, Departures: &fleet.Departures{}, Rates: &quota.Limits{}, Dial: func(string) table.Client { return ww.rows }, Starter: func(addr string) intake.Starter {
+		intake.Ports{Direct: li, Sender: ww, Engine: ww, Departures: &fleet.Departures{}, Rates: &quota.Limits{}, Dial: func(string) table.Client { return ww.rows }, Starter: func(addr string) intake.Starter {
 			at, err := strconv.Atoi(strings.TrimPrefix(addr, "n"))
 			require.NoError(ww.t, err)
 			return ww.entries[at]
@@ -282,7 +285,7 @@
 		intake.Decoders{OperatorTable: operatorTable, TargetTable: targetTable, Config: ww.config, Version: ww.version, Target: ww.target},
 		core.SystemClock{}, log.NewNopLogger(), &meter.Set{},
 	)
-	ww.entries = append(ww.entries, en)
+	ww.entries, ww.links = append(ww.entries, en), append(ww.links, li)
 	ww.group.Go(func() { require.NoError(ww.t, en.Run()) })
 }
 
@@ -315,6 +318,9 @@
 // listed returns the number of results of a job.
 func (ww *weightWorld) listed(id string) int {
 	for at := len(ww.entries) - 1; at >= 0; at-- {
+		if at == ww.dead {
+			continue
+		}
 		if li, failed := ww.entries[at].Results(context.Background(), id, 0, 0); failed == nil {
 			return len(li.Results)
 		}
@@ -322,6 +328,11 @@
 	return 0
 }
 
+// owner returns the entry that runs a job.
+func (ww *weightWorld) owner(id string) int {
+	return slices.IndexFunc(ww.entries, func(en *intake.Entry) bool { return en.Owns(id) })
+}
+
 // runningModel returns the engines that run items of a model.
 func (ww *weightWorld) runningModel(model string) []*weightEngine {
 	var found []*weightEngine
@@ -391,6 +402,27 @@
 			time.Sleep(time.Second)
 			ww.submit("later", "m1", 4, 36)
 		}},
+		{name: "the owner is cut off from the store too", models: 3, engines: 3, trouble: func(ww *weightWorld) {
+			lose(ww, 1)
+			ww.links[ww.owner("job")].setError(table.ErrRefused)
+		}},
+		{name: "the owner dies too", models: 3, engines: 3, trouble: func(ww *weightWorld) {
+			lose(ww, 1)
+			ww.dead = ww.owner("job")
+			ww.entries[ww.dead].Kill()
+		}},
+		{name: "the owner is stopped too", models: 3, engines: 3, trouble: func(ww *weightWorld) {
+			lose(ww, 1)
+			owner := ww.entries[ww.owner("job")]
+			go owner.Stop()
+		}},
+		{name: "a guard that was frozen holds the slot", models: 3, engines: 3, trouble: func(ww *weightWorld) {
+			lose(ww, 1)
+			raw, err := order.Row{Holder: "frozen", Model: "m1"}.Encode()
+			require.NoError(ww.t, err)
+			_, err = ww.rows.Commit(context.Background(), table.Tx{Puts: []table.Put{{ID: table.ID{Table: order.Table, Key: "slot/0"}, Value: raw}}})
+			require.NoError(ww.t, err)
+		}},
 		{name: "the guard whose turn it is does not act", models: 3, engines: 3, trouble: func(ww *weightWorld) {
 			lose(ww, 1)
 			for _, we := range ww.engines {
@@ -454,3 +486,47 @@
 		})
 	}
 }
+
+// trainModel runs steps of a model one after the other, each for the version before the newest,
+// until the context ends. It returns the number of steps that were completed in stepTime.
+func (ww *weightWorld) trainModel(ctx context.Context, model string) (steps, late int) {
+	for version := uint64(2); ctx.Err() == nil; version++ {
+		ww.put(operatorTable, "version/"+model, version)
+		id, began := fmt.Sprint(model, "-", version), time.Now()
+		ww.submit(id, model, version-1, weightSlots)
+		for ww.listed(id) < weightSlots && ctx.Err() == nil {
+			time.Sleep(100 * time.Millisecond)
+		}
+		if time.Since(began) > stepTime {
+			late++
+		}
+		steps++
+	}
+	return steps, late
+}
+
+// Guards against a trainer that starves beside others while all of them always have a step open
+// and name a version with each, where engines serve several models.
+func TestTrainersShareFewEngines(t *testing.T) {
+	for _, engineCount := range []int{1, 2, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			const models, span = 4, 2 * time.Minute
+			ww := newWeightWorld(t, models, engineCount, 0)
+			defer ww.stop()
+			ctx, cancel := context.WithTimeout(ww.ctx, span)
+			defer cancel()
+			var group sync.WaitGroup
+			counts := make([]int, models)
+			for at, model := range ww.models {
+				group.Go(func() {
+					var late int
+					counts[at], late = ww.trainModel(ctx, model)
+					require.Zero(t, late, "%s on %d engines", model, engineCount)
+				})
+			}
+			group.Wait()
+			t.Logf("%d engines: steps %v, loads %d", engineCount, counts, ww.loads())
+			require.GreaterOrEqual(t, slices.Min(counts), int(span/stepTime))
+		})
+	}
+}
