runs: a save of partial texts that completes after its job's end deletes its rows

Callers saw nothing; the store kept partial texts of ended jobs until their deletion, and rows could be deleted by a slice read while it was written.

Cause: partialsSaved handled the outcome as if the job still ran. It appended to jo.obsoleteRows while the goroutine of drop read it, and no one deleted the rows that were saved after drop's deletion.

Change: drop hands its rows to the goroutine, and the outcome of a save of an ended job deletes what it saved. Rows of a job that was released or has another owner stay, as before.

--- a/intake/end_test.go
+++ b/intake/end_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bilberryshelf/batch"
+	"bilberryshelf/table"
 )
 
 // busyJob submits a job that lists results all the time.
@@ -102,3 +103,25 @@
 		})
 	}
 }
+
+// Guards against partial texts of an ended job that stay in the store, since their save was in
+// flight as the job ended.
+func TestEndDuringSaveLeavesNoPartialTexts(t *testing.T) {
+	for after := time.Duration(0); after < 2*time.Second; after += 100 * time.Millisecond {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 3)
+				defer cl.stop()
+				busyJob(cl, 0)
+				owner := cl.owner("j1")
+				cl.links[owner].setLatency(300 * time.Millisecond)
+				time.Sleep(after)
+				require.Nil(t, cl.entries[owner].EndJob(context.Background(), "j1"))
+				time.Sleep(3 * time.Second)
+				page, err := cl.rows.List(context.Background(), table.Range{Table: batch.PartialTable, Part: "j1"})
+				require.NoError(t, err)
+				require.Empty(t, page.Rows)
+			})
+		})
+	}
+}
--- a/runs/job.go
+++ b/runs/job.go
@@ -62,6 +62,8 @@
 	// storeFailing is set while writes of results fail.
 	storeFailing bool
 	dropped      bool
+	// ended is set for a dropped job that no other entry runs on.
+	ended bool
 	// unlisted holds the partial texts that were not listed when the job was dropped.
 	unlisted []batch.Partial
 }
--- a/runs/lifecycle.go
+++ b/runs/lifecycle.go
@@ -185,16 +185,18 @@
 	if why == dropReleased || why == dropReplaced {
 		return
 	}
+	jo.ended = true
 	byID := map[string]batch.Partial{}
 	for at := range partials {
 		partials[at].Rows = nil // these rows belong to the job, the new ones to the route
 		byID[partials[at].ID] = partials[at]
 	}
 	ow.routePartials[jo.partialsPart()] = byID
+	unused := jo.obsoleteRows
 	go func() {
 		_, err := ow.Ledger.SavePartials(ow.ctx, jo.partialsPart(), partials)
 		if err == nil {
-			err = ow.Ledger.DeleteRows(ow.ctx, jo.obsoleteRows)
+			err = ow.Ledger.DeleteRows(ow.ctx, unused)
 		}
 		if err != nil {
 			logs.Warn(ow.Logger, "partial texts not saved", "id", jo.body.ID, "err", err)
--- a/runs/list.go
+++ b/runs/list.go
@@ -163,9 +163,14 @@
 	}()
 }
 
-// partialsSaved handles the outcome of a save. A failed save is retried later.
+// partialsSaved handles the outcome of a save. A failed save is retried later. If the job
+// ended in the meantime, the rows are deleted, also those of a save that failed in part.
 func (ow *Owner) partialsSaved(jo *job, partials []batch.Partial, items map[string]*item, rowIDs map[string][]table.ID, err error) {
 	jo.saving = false
+	if jo.ended {
+		ow.deletePartials(jo, slices.Concat(slices.Collect(maps.Values(rowIDs))...))
+		return
+	}
 	if err != nil {
 		logs.Debug(ow.Logger, "partial texts not saved", "id", jo.body.ID, "err", err)
 		return
@@ -178,3 +183,13 @@
 		}
 	}
 }
+
+// deletePartials deletes rows of partial texts of a job that ended. Rows that remain are
+// deleted with the job.
+func (ow *Owner) deletePartials(jo *job, rows []table.ID) {
+	go func() {
+		if err := ow.Ledger.DeleteRows(ow.ctx, rows); err != nil {
+			logs.Debug(ow.Logger, "partial texts not deleted", "id", jo.body.ID, "err", err)
+		}
+	}()
+}
