--- a/soak/crowdsoak_test.go
+++ b/soak/crowdsoak_test.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
 	"time"
-
-	"github.com/stretchr/testify/require"
 )
 
 const (
@@ -26,16 +23,7 @@
 	if !*runCrowds {
 		t.Skip("run apart from other load: go test ./soak -run TestCrowd -args -crowd")
 	}
-	for at := range *seeds {
-		seed := *fromSeed + uint64(at)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			cl := newCluster(t, binary, crowdSoakMemory)
-			violations := runScenarioBeside(t, cl, seed, faultKindCount, func(ctx context.Context) {
-				cl.sendCrowds(ctx, rand.New(rand.NewPCG(seed, 20)))
-			})
-			require.Empty(t, violations)
-		})
-	}
+	soakBeside(t, crowdSoakMemory, 20, (*cluster).sendCrowds)
 }
 
 // sendCrowds runs random crowds against random entries until ctx ends.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -85,6 +85,21 @@
 	return runScenarioBeside(t, newCluster(t, binary, usualMemory), seed, faultKinds, func(context.Context) {})
 }
 
+// soakBeside runs a scenario for each seed, on clusters whose processes have the given memory, in
+// MiB. disturb runs beside it, with the given stream of random numbers of the seed.
+func soakBeside(t *testing.T, memory int, stream uint64, disturb func(cl *cluster, ctx context.Context, rng *rand.Rand)) {
+	for at := range *seeds {
+		seed := *fromSeed + uint64(at)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			cl := newCluster(t, binary, memory)
+			violations := runScenarioBeside(t, cl, seed, faultKindCount, func(ctx context.Context) {
+				disturb(cl, ctx, rand.New(rand.NewPCG(seed, stream)))
+			})
+			require.Empty(t, violations)
+		})
+	}
+}
+
 // runScenarioBeside runs a scenario on a cluster. beside runs while faults are injected; its
 // context ends with them.
 func runScenarioBeside(t *testing.T, cl *cluster, seed uint64, faultKinds int, beside func(ctx context.Context)) []string {
